--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/crates/model/src/place/mod.rs
@@ -0,0 +1,8 @@
+//! Regions, data centres and the permission to use them.
+
+mod error;
+mod permit;
+mod place;
+mod site;
+
+pub use {error::Error, permit::permits, place::Place, site::Site};
--- /dev/null
+++ b/crates/model/src/shape/mod.rs
@@ -0,0 +1,6 @@
+//! The size and adjacency of a gang.
+
+mod adjacency;
+mod shape;
+
+pub use {adjacency::Adjacency, shape::Shape};
