Add the home region of an account and the place of a job

Cause: a resend through an instance of another region must reach the group that keeps the first submission.

--- a/crates/model/src/config/config.rs
+++ b/crates/model/src/config/config.rs
@@ -17,6 +17,9 @@
     pub number: u64,
     /// Client accounts by name.
     pub accounts: IndexMap<String, Account>,
+    /// Home region of each account: the region whose group keeps its jobs and claims by default.
+    #[serde(default)]
+    pub homes: IndexMap<String, String>,
 }
 
 impl Config {
@@ -63,6 +66,21 @@
         }
     }
 
+    /// Gives each account without a permitted home the region of its first permitted place.
+    fn settle_homes(&mut self) {
+        let accounts = &self.accounts;
+        self.homes.retain(|name, _| accounts.contains_key(name));
+        for (name, account) in accounts {
+            let permitted = |home: &String| account.places.iter().any(|p| p.region() == home);
+            if self.homes.get(name).is_some_and(permitted) {
+                continue;
+            }
+            if let Some(place) = account.places.first() {
+                self.homes.insert(name.clone(), place.region().to_owned());
+            }
+        }
+    }
+
     fn withdraw(&mut self, withdrawal: &Withdrawal, faults: &mut Vec<Fault>) {
         for name in &withdrawal.accounts {
             if self.accounts.shift_remove(name).is_none() {
--- a/crates/model/src/job/spec.rs
+++ b/crates/model/src/job/spec.rs
@@ -1,6 +1,6 @@
 use {
     super::Class,
-    crate::shape::Shape,
+    crate::{place::Place, shape::Shape},
     schemars::JsonSchema,
     serde::{Deserialize, Serialize},
 };
@@ -18,6 +18,9 @@
     pub class: Class,
     /// The gang.
     pub shape: Shape,
+    /// Where the job shall run, inside the account's permitted places; the account's home region if absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub place: Option<Place>,
     /// Whether the job may run again after an attempt that started.
     #[serde(default)]
     pub repeatable: bool,
