Connect instances by capnp-rpc

Cause: consensus, proposals, configuration and reports need one transport. Change: schema and generated code in wire, plain Verdict and Update, and control::peers with one thread, call timeouts and connection replacement.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder.
+//! Drives the groups of replicas, the controllers of jobs and the connections between instances.
+
+pub mod peers;
--- /dev/null
+++ b/crates/control/src/peers/peers.rs
@@ -0,0 +1,177 @@
+use {
+    super::{
+        Error, Handler,
+        call::{Answer, Call},
+        link::Link,
+        server,
+    },
+    indexmap::IndexMap,
+    std::{
+        io,
+        net::{SocketAddr, TcpListener},
+        sync::{Arc, OnceLock},
+        thread,
+        time::Duration,
+    },
+    tokio::{
+        sync::{mpsc, oneshot},
+        task::{LocalSet, spawn_local},
+    },
+    wire::{Update, Verdict},
+};
+
+/// Calls waiting for one instance beyond which new ones fail at once.
+const MAX_QUEUED_CALLS: usize = 1024;
+
+/// The running connections to and from the other instances.
+#[derive(Clone)]
+pub struct Peers {
+    calls: Arc<IndexMap<u64, mpsc::Sender<Call>>>,
+    handler: Arc<OnceLock<Arc<dyn Handler>>>,
+    address: SocketAddr,
+}
+
+impl Peers {
+    /// Listens on `address` and starts the thread that serves all connections.
+    ///
+    /// `addresses` gives the peer address of every other instance by id. A call without an answer within
+    /// `timeout` fails and its connection is replaced.
+    pub fn bind(
+        own_id: u64,
+        address: SocketAddr,
+        addresses: impl IntoIterator<Item = (u64, SocketAddr)>,
+        timeout: Duration,
+    ) -> Result<Peers, Error> {
+        let listener = TcpListener::bind(address).map_err(Error::Bind)?;
+        listener.set_nonblocking(true).map_err(Error::Bind)?;
+        let address = listener.local_addr().map_err(Error::Bind)?;
+        let mut calls = IndexMap::new();
+        let mut queues = Vec::new();
+        for (id, address) in addresses {
+            let (sender, receiver) = mpsc::channel(MAX_QUEUED_CALLS);
+            calls.insert(id, sender);
+            queues.push((address, receiver));
+        }
+        let handler = Arc::new(OnceLock::new());
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .map_err(Error::Bind)?;
+        let server_handler = handler.clone();
+        thread::Builder::new()
+            .name("peers".into())
+            .spawn(move || {
+                let local = LocalSet::new();
+                local.block_on(
+                    &runtime,
+                    serve(listener, queues, server_handler, own_id, timeout),
+                )
+            })
+            .map_err(Error::Bind)?;
+        Ok(Peers {
+            calls: Arc::new(calls),
+            handler,
+            address,
+        })
+    }
+
+    /// The address on which this instance listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sets what is done with calls from other instances; until then they are answered "not run".
+    pub fn serve(&self, handler: Arc<dyn Handler>) {
+        drop(self.handler.set(handler));
+    }
+
+    /// Sends consensus messages without waiting; they may be lost.
+    pub fn deliver(&self, to: u64, group: &str, messages: Vec<Vec<u8>>) {
+        if let Some(calls) = self.calls.get(&to) {
+            drop(calls.try_send(Call::Deliver {
+                group: group.to_owned(),
+                messages,
+            }));
+        }
+    }
+
+    /// Proposes a command to an instance that may lead the group.
+    pub async fn propose(&self, to: u64, group: &str, command: &[u8]) -> Result<Verdict, Error> {
+        let (group, command) = (group.to_owned(), command.to_vec());
+        self.call(to, |answer| Call::Propose {
+            group,
+            command,
+            answer,
+        })
+        .await
+    }
+
+    /// Reads from an instance that may lead the group.
+    pub async fn query(&self, to: u64, group: &str, query: &[u8]) -> Result<Verdict, Error> {
+        let (group, query) = (group.to_owned(), query.to_vec());
+        self.call(to, |answer| Call::Query {
+            group,
+            query,
+            answer,
+        })
+        .await
+    }
+
+    /// Asks an instance that may lead the group `config` for newer configuration and a lease.
+    pub async fn follow(&self, to: u64, incarnation: u64, applied: u64) -> Result<Update, Error> {
+        self.call(to, |answer| Call::Follow {
+            incarnation,
+            applied,
+            answer,
+        })
+        .await
+    }
+
+    /// Reports to an instance that may lead the group.
+    pub async fn report(&self, to: u64, group: &str, report: &[u8]) -> Result<Verdict, Error> {
+        let (group, report) = (group.to_owned(), report.to_vec());
+        self.call(to, |answer| Call::Report {
+            group,
+            report,
+            answer,
+        })
+        .await
+    }
+
+    /// Sends membership entries and returns those of the other instance.
+    pub async fn gossip(&self, to: u64, entries: Vec<u8>) -> Result<Vec<u8>, Error> {
+        self.call(to, |answer| Call::Gossip { entries, answer })
+            .await
+    }
+
+    async fn call<T>(&self, to: u64, call: impl FnOnce(Answer<T>) -> Call) -> Result<T, Error> {
+        let calls = self.calls.get(&to).ok_or(Error::NoPeer(to))?;
+        let (answer, result) = oneshot::channel();
+        calls
+            .try_send(call(answer))
+            .map_err(|_| Error::NotSent("too many calls are waiting".into()))?;
+        result
+            .await
+            .unwrap_or_else(|_| Err(Error::NoAnswer("the connection was closed".into())))
+    }
+}
+
+async fn serve(
+    listener: TcpListener,
+    queues: Vec<(SocketAddr, mpsc::Receiver<Call>)>,
+    handler: Arc<OnceLock<Arc<dyn Handler>>>,
+    own_id: u64,
+    timeout: Duration,
+) {
+    for (address, receiver) in queues {
+        spawn_local(Link::new(address, own_id, timeout).run(receiver));
+    }
+    match tokio::net::TcpListener::from_std(listener) {
+        Ok(listener) => server::accept(listener, handler).await,
+        Err(error) => log_bind(&error),
+    }
+}
+
+fn log_bind(error: &io::Error) {
+    log::error!("event=peers_listen_failed error=\"{error}\"");
+}
