Add the replicated state, the group driver and the gang protocol

Cause: notes, jobs and claims need one log, and gangs need orders that survive delayed messages and paused leaders. Change: control::state, group, follow, worker and the gang part of jobs; leases count from the worker's own clock, echoed in each order.

--- /dev/null
+++ b/crates/control/src/group/codec.rs
@@ -0,0 +1,63 @@
+use {
+    super::Error,
+    quorum::{Entry, Hard, Members, Payload, Snapshot, Stable},
+};
+
+/// Converts entries to what the disk stores.
+pub(super) fn to_disk(entries: &[Entry]) -> Result<Vec<disk::Entry>, Error> {
+    entries
+        .iter()
+        .map(|entry| {
+            Ok(disk::Entry {
+                index: entry.index,
+                term: entry.term,
+                bytes: postcard::to_stdvec(&entry.payload)?,
+            })
+        })
+        .collect()
+}
+
+/// Encodes the hard state.
+pub(super) fn hard(hard: &Hard) -> Result<Vec<u8>, Error> {
+    Ok(postcard::to_stdvec(hard)?)
+}
+
+/// Encodes the member list and the data of a snapshot.
+pub(super) fn snapshot(snapshot: &Snapshot) -> Result<Vec<u8>, Error> {
+    Ok(postcard::to_stdvec(&(&snapshot.members, &snapshot.data))?)
+}
+
+/// Converts what the disk holds to the stable state of a replica.
+pub(super) fn stable(incarnation: u64, contents: disk::Contents) -> Result<Stable, Error> {
+    let hard = match contents.hard {
+        Some(bytes) => postcard::from_bytes(&bytes)?,
+        None => Hard::default(),
+    };
+    let snapshot = match contents.snapshot {
+        Some(stored) => {
+            let (members, data): (Members, Vec<u8>) = postcard::from_bytes(&stored.bytes)?;
+            Some(Snapshot {
+                index: stored.index,
+                term: stored.term,
+                members,
+                data,
+            })
+        }
+        None => None,
+    };
+    let mut entries = Vec::with_capacity(contents.entries.len());
+    for stored in contents.entries {
+        let payload: Payload = postcard::from_bytes(&stored.bytes)?;
+        entries.push(Entry {
+            index: stored.index,
+            term: stored.term,
+            payload,
+        });
+    }
+    Ok(Stable {
+        incarnation,
+        hard,
+        snapshot,
+        entries,
+    })
+}
--- /dev/null
+++ b/crates/control/src/group/driver.rs
@@ -0,0 +1,339 @@
+use {
+    super::{Error, Setup, View, codec, input::Input},
+    crate::{
+        peers::Peers,
+        state::{Answer, State},
+    },
+    indexmap::IndexMap,
+    model::clock::Clock,
+    quorum::{Effect, Entry, Event, Message, Node, Outcome, Payload, Refusal, Snapshot, Stable},
+    std::{
+        collections::VecDeque,
+        sync::{Arc, Mutex, PoisonError, mpsc},
+        time::Duration,
+    },
+    tokio::sync::oneshot,
+    wire::Verdict,
+};
+
+/// Inputs handled before the disk is synced once for all of them.
+const MAX_BATCH: usize = 256;
+
+/// Applied entries after which a snapshot is taken.
+const SNAPSHOT_ENTRIES: u64 = 4096;
+
+/// Bytes of applied commands after which a snapshot is taken.
+const SNAPSHOT_BYTES: usize = 8 * 1024 * 1024;
+
+/// Who waits for the end of a ticket.
+enum Waiter {
+    Propose(oneshot::Sender<Verdict>),
+    Read(oneshot::Sender<Option<Verdict>>),
+    Change,
+}
+
+/// Performs the effects of one consensus state machine.
+pub(super) struct Driver {
+    name: String,
+    node: Node,
+    store: disk::Store,
+    state: Arc<State>,
+    view: Arc<Mutex<View>>,
+    clock: Arc<dyn Clock>,
+    peers: Peers,
+    tick: Duration,
+    next_ticket: u64,
+    waiters: IndexMap<u64, Waiter>,
+    answers: IndexMap<u64, Answer>,
+    outbox: IndexMap<u64, Vec<Vec<u8>>>,
+    applied: (u64, u64),
+    unsaved_entries: u64,
+    unsaved_bytes: usize,
+}
+
+impl Driver {
+    pub(super) fn new(
+        setup: Setup,
+        stable: Stable,
+        store: disk::Store,
+        state: Arc<State>,
+        view: Arc<Mutex<View>>,
+    ) -> Driver {
+        let now = setup.clock.now();
+        let seed = stable.incarnation ^ setup.id;
+        let applied = stable
+            .snapshot
+            .as_ref()
+            .map_or((0, 0), |snapshot| (snapshot.index, snapshot.term));
+        let tick = setup.settings.heartbeat / 3;
+        Driver {
+            name: setup.name,
+            node: Node::new(setup.id, setup.settings, stable, seed, now),
+            store,
+            state,
+            view,
+            clock: setup.clock,
+            peers: setup.peers,
+            tick,
+            next_ticket: 0,
+            waiters: IndexMap::new(),
+            answers: IndexMap::new(),
+            outbox: IndexMap::new(),
+            applied,
+            unsaved_entries: 0,
+            unsaved_bytes: 0,
+        }
+    }
+
+    /// Runs until told to stop or until the disk fails.
+    pub(super) fn run(mut self, inputs: &mpsc::Receiver<Input>) {
+        loop {
+            let mut events = VecDeque::new();
+            match inputs.recv_timeout(self.tick) {
+                Ok(Input::Stop) | Err(mpsc::RecvTimeoutError::Disconnected) => return,
+                Ok(input) => self.take(input, &mut events),
+                Err(mpsc::RecvTimeoutError::Timeout) => {}
+            }
+            for input in inputs.try_iter().take(MAX_BATCH) {
+                if matches!(input, Input::Stop) {
+                    return;
+                }
+                self.take(input, &mut events);
+            }
+            events.push_back(Event::Tick);
+            if let Err(error) = self.step(events) {
+                // A failed write or sync may have lost what other replicas count on, so nothing more is
+                // sent or answered.
+                log::error!("event=replica_stopped group={} error=\"{error}\"", self.name);
+                self.view().stopped = Some(error.to_string());
+                return;
+            }
+            self.publish();
+        }
+    }
+
+    fn view(&self) -> std::sync::MutexGuard<'_, View> {
+        self.view.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn ticket(&mut self, waiter: Waiter) -> u64 {
+        self.next_ticket += 1;
+        self.waiters.insert(self.next_ticket, waiter);
+        self.next_ticket
+    }
+
+    fn take(&mut self, input: Input, events: &mut VecDeque<Event>) {
+        match input {
+            Input::Deliver { sender, messages } => {
+                for bytes in messages {
+                    match postcard::from_bytes::<Message>(&bytes) {
+                        Ok(message) => events.push_back(Event::Message { from: sender, message }),
+                        Err(error) => log::warn!(
+                            "event=message_malformed group={} sender={sender} error=\"{error}\"",
+                            self.name
+                        ),
+                    }
+                }
+            }
+            Input::Propose { command, reply } => {
+                let ticket = self.ticket(Waiter::Propose(reply));
+                events.push_back(Event::Propose { ticket, command });
+            }
+            Input::Read { reply } => {
+                let ticket = self.ticket(Waiter::Read(reply));
+                events.push_back(Event::Read { ticket });
+            }
+            Input::Change(change) => {
+                let ticket = self.ticket(Waiter::Change);
+                events.push_back(Event::Change { ticket, change });
+            }
+            Input::Resign => {
+                let now = self.clock.now();
+                let effects = self.node.transfer_leadership(now);
+                let mut synced = VecDeque::new();
+                if let Err(error) = self.perform(effects, &mut synced) {
+                    log::error!("event=resign_failed group={} error=\"{error}\"", self.name);
+                }
+                events.extend(synced);
+            }
+            Input::Stop => {}
+        }
+    }
+
+    /// Steps the node with all events; the disk is synced once for each round of effects.
+    fn step(&mut self, mut events: VecDeque<Event>) -> Result<(), Error> {
+        while !events.is_empty() {
+            let mut effects = Vec::new();
+            for event in events.drain(..) {
+                effects.extend(self.node.step(event, self.clock.now()));
+            }
+            self.perform(effects, &mut events)?;
+            if events.is_empty() {
+                events.extend(self.compact()?);
+            }
+        }
+        Ok(())
+    }
+
+    /// Writes and syncs everything that the effects persist, then performs the others in order.
+    fn perform(&mut self, effects: Vec<Effect>, events: &mut VecDeque<Event>) -> Result<(), Error> {
+        let mut dirty = false;
+        for effect in &effects {
+            dirty |= self.persist(effect, events)?;
+        }
+        if dirty {
+            self.store.sync()?;
+        }
+        for effect in effects {
+            match effect {
+                Effect::Send { to, message } => {
+                    let bytes = postcard::to_stdvec(&message)?;
+                    self.outbox.entry(to).or_default().push(bytes);
+                }
+                Effect::Apply { entry } => self.apply(entry),
+                Effect::Done { ticket, outcome } => self.finish(ticket, outcome),
+                Effect::Persist { .. } | Effect::Restore { .. } | Effect::Save { .. } => {}
+            }
+        }
+        self.answers.clear();
+        for (to, messages) in self.outbox.drain(..) {
+            self.peers.deliver(to, &self.name, messages);
+        }
+        Ok(())
+    }
+
+    /// Hands one disk effect to the store; returns whether a sync is owed.
+    fn persist(&mut self, effect: &Effect, events: &mut VecDeque<Event>) -> Result<bool, Error> {
+        match effect {
+            Effect::Persist { hard, truncate, entries } => {
+                if let Some(hard) = hard {
+                    self.store.set_hard(&codec::hard(hard)?)?;
+                }
+                if let Some(index) = truncate {
+                    self.store.truncate_from(*index)?;
+                }
+                if let Some(last) = entries.last() {
+                    self.store.append(&codec::to_disk(entries)?)?;
+                    events.push_back(Event::Synced { index: last.index });
+                }
+                Ok(true)
+            }
+            Effect::Restore { snapshot } => {
+                self.save(snapshot)?;
+                // Entries behind the snapshot may conflict with it. They are removed only after the
+                // snapshot is synced, because a crash in between must not lose acknowledged entries.
+                self.store.truncate_from(snapshot.index + 1)?;
+                self.state
+                    .restore(&snapshot.data)
+                    .map_err(|error| Error::State(error.to_string()))?;
+                self.applied = (snapshot.index, snapshot.term);
+                events.push_back(Event::Synced { index: snapshot.index });
+                Ok(true)
+            }
+            Effect::Save { snapshot } => {
+                self.save(snapshot)?;
+                Ok(false)
+            }
+            _ => Ok(false),
+        }
+    }
+
+    fn save(&mut self, snapshot: &Snapshot) -> Result<(), Error> {
+        let bytes = codec::snapshot(snapshot)?;
+        self.store.save_snapshot(snapshot.index, snapshot.term, &bytes)?;
+        Ok(())
+    }
+
+    fn apply(&mut self, entry: Entry) {
+        self.applied = (entry.index, entry.term);
+        self.unsaved_entries += 1;
+        if let Payload::Command(command) = &entry.payload {
+            self.unsaved_bytes += command.len();
+            let answer = self.state.apply(command);
+            if let Answer::Malformed(error) = &answer {
+                log::error!(
+                    "event=command_malformed group={} index={} error=\"{error}\"",
+                    self.name,
+                    entry.index
+                );
+            }
+            self.answers.insert(entry.index, answer);
+        }
+    }
+
+    fn finish(&mut self, ticket: u64, outcome: Outcome) {
+        match self.waiters.swap_remove(&ticket) {
+            Some(Waiter::Propose(reply)) => drop(reply.send(self.verdict(outcome))),
+            Some(Waiter::Read(reply)) => {
+                let refusal = match outcome {
+                    Outcome::ReadReady { .. } => None,
+                    other => Some(self.verdict(other)),
+                };
+                drop(reply.send(refusal));
+            }
+            Some(Waiter::Change) => log::info!(
+                "event=membership_change group={} outcome=\"{outcome:?}\"",
+                self.name
+            ),
+            None => {}
+        }
+    }
+
+    fn verdict(&mut self, outcome: Outcome) -> Verdict {
+        match outcome {
+            Outcome::Committed { index } | Outcome::ReadReady { index } => {
+                let answer = self.answers.swap_remove(&index).unwrap_or(Answer::Done);
+                match serde_json::to_vec(&answer) {
+                    Ok(bytes) => Verdict::Answer(bytes),
+                    Err(error) => Verdict::Unknown(error.to_string()),
+                }
+            }
+            Outcome::NotLeader { leader } => Verdict::NotLeader(leader),
+            Outcome::Lost => Verdict::Unknown("the leader changed; resend with the same key".into()),
+            Outcome::Refused { reason } => Verdict::NotRun(refusal(reason)),
+        }
+    }
+
+    /// Takes a snapshot when enough was applied since the last one.
+    fn compact(&mut self) -> Result<Option<Event>, Error> {
+        if self.unsaved_entries < SNAPSHOT_ENTRIES && self.unsaved_bytes < SNAPSHOT_BYTES {
+            return Ok(None);
+        }
+        self.unsaved_entries = 0;
+        self.unsaved_bytes = 0;
+        let data = self
+            .state
+            .save()
+            .map_err(|error| Error::State(error.to_string()))?;
+        let (index, term) = self.applied;
+        Ok(Some(Event::Compacted { index, term, data }))
+    }
+
+    fn publish(&self) {
+        let leads = self.node.is_leader();
+        let mut view = self.view();
+        let leader = self.node.leader();
+        if view.leader != leader {
+            log::info!(
+                "event=leader_changed group={} term={} leader={}",
+                self.name,
+                self.node.term(),
+                leader.unwrap_or(0)
+            );
+        }
+        view.leader = leader;
+        view.leading_since = match (leads, view.leading_since) {
+            (true, Some(since)) if view.term == self.node.term() => Some(since),
+            (true, _) => Some(self.clock.now()),
+            (false, _) => None,
+        };
+        view.term = self.node.term();
+        view.commit = self.node.commit_index();
+        view.applied = self.applied.0;
+        view.members = self.node.members().clone();
+    }
+}
+
+fn refusal(reason: Refusal) -> String {
+    format!("the leader refused the request: {reason:?}")
+}
--- /dev/null
+++ b/crates/control/src/group/error.rs
@@ -0,0 +1,39 @@
+use std::fmt;
+
+/// Why a replica cannot start or had to stop.
+#[derive(Debug)]
+pub enum Error {
+    /// The disk.
+    Disk(disk::Error),
+    /// A record or message could not be encoded or decoded.
+    Codec(String),
+    /// A snapshot does not hold a state that this version understands.
+    State(String),
+    /// The thread could not be started.
+    Thread(std::io::Error),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Error::Disk(error) => error.fmt(f),
+            Error::Codec(reason) => write!(f, "a stored record cannot be read: {reason}"),
+            Error::State(reason) => write!(f, "the snapshot cannot be read: {reason}"),
+            Error::Thread(error) => write!(f, "cannot start the thread of a group: {error}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+impl From<disk::Error> for Error {
+    fn from(error: disk::Error) -> Error {
+        Error::Disk(error)
+    }
+}
+
+impl From<postcard::Error> for Error {
+    fn from(error: postcard::Error) -> Error {
+        Error::Codec(error.to_string())
+    }
+}
--- /dev/null
+++ b/crates/control/src/group/group.rs
@@ -0,0 +1,148 @@
+use {
+    super::{Error, View, codec, driver::Driver, input::Input},
+    crate::{peers::Peers, state::State},
+    model::clock::Clock,
+    quorum::{Change, Member, Members, Settings, Stable},
+    std::{
+        sync::{Arc, Mutex, PoisonError, mpsc},
+        thread,
+    },
+    tokio::sync::oneshot,
+    wire::Verdict,
+};
+
+/// Messages and proposals waiting for a replica's thread beyond which new ones are refused.
+const MAX_QUEUED_INPUTS: usize = 4096;
+
+/// What a replica needs to start.
+pub struct Setup {
+    /// Name of the group.
+    pub name: String,
+    /// Id of this instance.
+    pub id: u64,
+    /// Forms a new group with this replica as its only voter if the disk holds nothing of the group.
+    pub found: bool,
+    /// Timing and sizes.
+    pub settings: Settings,
+    /// Source of time.
+    pub clock: Arc<dyn Clock>,
+    /// Connections to the other instances.
+    pub peers: Peers,
+}
+
+/// A running replica.
+#[derive(Clone)]
+pub struct Group {
+    name: Arc<str>,
+    member: Member,
+    inputs: mpsc::SyncSender<Input>,
+    state: Arc<State>,
+    view: Arc<Mutex<View>>,
+}
+
+impl Group {
+    /// Loads what the disk holds and starts the replica's thread.
+    pub fn spawn(folder: &disk::Folder, setup: Setup) -> Result<Group, Error> {
+        let (mut store, contents) = disk::Store::open(folder, &setup.name)?;
+        let mut stable = codec::stable(folder.incarnation(), contents)?;
+        let member = Member {
+            id: setup.id,
+            incarnation: stable.incarnation,
+        };
+        let empty = stable.entries.is_empty() && stable.snapshot.is_none();
+        if empty && setup.found {
+            stable = Stable::bootstrap(stable.incarnation, Members::new([member]));
+            store.append(&codec::to_disk(&stable.entries)?)?;
+            store.sync()?;
+        }
+        let state = Arc::new(State::default());
+        if let Some(snapshot) = &stable.snapshot {
+            state
+                .restore(&snapshot.data)
+                .map_err(|error| Error::State(error.to_string()))?;
+        }
+        let view = Arc::new(Mutex::new(View::default()));
+        let (inputs, receiver) = mpsc::sync_channel(MAX_QUEUED_INPUTS);
+        let name: Arc<str> = setup.name.as_str().into();
+        let driver = Driver::new(setup, stable, store, state.clone(), view.clone());
+        thread::Builder::new()
+            .name(format!("group-{name}"))
+            .spawn(move || driver.run(&receiver))
+            .map_err(Error::Thread)?;
+        Ok(Group {
+            name,
+            member,
+            inputs,
+            state,
+            view,
+        })
+    }
+
+    /// The group's name.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// This replica's id and incarnation.
+    pub fn member(&self) -> Member {
+        self.member
+    }
+
+    /// The replicated state as of the last applied entry.
+    pub fn state(&self) -> &State {
+        &self.state
+    }
+
+    /// What the replica knew after its last step.
+    pub fn view(&self) -> View {
+        self.view
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    /// Hands over messages of another replica; drops them when too many are waiting.
+    pub fn deliver(&self, sender: u64, messages: Vec<Vec<u8>>) {
+        drop(self.inputs.try_send(Input::Deliver { sender, messages }));
+    }
+
+    /// Proposes a command and waits until it is applied or known to be refused.
+    pub async fn propose(&self, command: Vec<u8>) -> Verdict {
+        let (reply, verdict) = oneshot::channel();
+        if self.inputs.try_send(Input::Propose { command, reply }).is_err() {
+            return Verdict::NotRun(format!("too many commands wait for the group {}", self.name));
+        }
+        verdict
+            .await
+            .unwrap_or_else(|_| Verdict::Unknown(format!("the replica of {} stopped", self.name)))
+    }
+
+    /// Waits until the local state may be read linearizably; the verdict says why it may not.
+    pub async fn read(&self) -> Result<(), Verdict> {
+        let stopped = || Verdict::NotRun(format!("the replica of {} is not running", self.name));
+        let (reply, barrier) = oneshot::channel();
+        if self.inputs.try_send(Input::Read { reply }).is_err() {
+            return Err(stopped());
+        }
+        match barrier.await {
+            Ok(None) => Ok(()),
+            Ok(Some(refusal)) => Err(refusal),
+            Err(_) => Err(stopped()),
+        }
+    }
+
+    /// Asks for a membership change if this replica leads.
+    pub fn change(&self, change: Change) {
+        drop(self.inputs.try_send(Input::Change(change)));
+    }
+
+    /// Hands leadership to another voter, if this replica leads.
+    pub fn resign(&self) {
+        drop(self.inputs.try_send(Input::Resign));
+    }
+
+    /// Ends the replica's thread.
+    pub fn stop(&self) {
+        drop(self.inputs.send(Input::Stop));
+    }
+}
--- /dev/null
+++ b/crates/control/src/group/view.rs
@@ -0,0 +1,23 @@
+use {
+    quorum::Members,
+    std::time::Instant,
+};
+
+/// What a replica knew of its group after its last step.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    /// The leader's id, if known.
+    pub leader: Option<u64>,
+    /// Since when this replica leads with a valid lease, if it does.
+    pub leading_since: Option<Instant>,
+    /// Current term.
+    pub term: u64,
+    /// Last committed index.
+    pub commit: u64,
+    /// Last applied index.
+    pub applied: u64,
+    /// Voters, learners and the list being replaced.
+    pub members: Members,
+    /// Why the replica stopped, if it did.
+    pub stopped: Option<String>,
+}
--- /dev/null
+++ b/crates/control/src/state/claims.rs
@@ -0,0 +1,145 @@
+use {
+    super::Answer,
+    indexmap::IndexMap,
+    serde::{Deserialize, Serialize},
+};
+
+/// Claims and first answers are kept this long.
+const KEEP_MS: u64 = 24 * 3600 * 1000;
+
+/// How a claimed request ended.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", tag = "end")]
+pub enum Stored {
+    /// Nothing was sent; the claim is given up and a resend may run.
+    Released,
+    /// The whole answer was received; the body is absent if it was too large to keep.
+    Answered {
+        /// HTTP status.
+        status: u16,
+        /// Value of `content-type`.
+        content_type: String,
+        /// The body.
+        body: Option<Vec<u8>>,
+    },
+    /// It was sent and no whole answer was received.
+    Unknown,
+}
+
+/// Where a claim stands.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", tag = "phase")]
+pub enum Phase {
+    /// The instance of this id and incarnation may send or has sent the request.
+    Held {
+        /// Id of the instance.
+        instance: u64,
+        /// Its incarnation.
+        incarnation: u64,
+    },
+    /// The request ended.
+    Ended(Stored),
+}
+
+/// The claim on one key.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claim {
+    /// Digest of the request.
+    pub digest: u64,
+    /// Where it stands.
+    pub phase: Phase,
+    /// Milliseconds since the Unix epoch of the last change.
+    pub at_ms: u64,
+}
+
+/// The claims of a region group by account and key.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Claims {
+    claims: IndexMap<String, Claim>,
+}
+
+impl Claims {
+    /// Number of claims kept.
+    pub fn len(&self) -> usize {
+        self.claims.len()
+    }
+
+    /// Tells whether no claim is kept.
+    pub fn is_empty(&self) -> bool {
+        self.claims.is_empty()
+    }
+
+    /// Grants the claim on a key, or returns the record of the claim made earlier.
+    pub fn claim(
+        &mut self,
+        id: (&str, &str),
+        digest: u64,
+        holder: (u64, u64),
+        at_ms: u64,
+    ) -> Answer {
+        let id = name(id);
+        if let Some(claim) = self.claims.get(&id) {
+            let resent = Phase::Held {
+                instance: holder.0,
+                incarnation: holder.1,
+            };
+            // The same instance asks again only after its first proposal was lost, before it sent anything.
+            if claim.phase == resent && claim.digest == digest && claim.at_ms == at_ms {
+                return Answer::Granted;
+            }
+            return Answer::Claimed(claim.clone());
+        }
+        let phase = Phase::Held {
+            instance: holder.0,
+            incarnation: holder.1,
+        };
+        self.claims.insert(
+            id,
+            Claim {
+                digest,
+                phase,
+                at_ms,
+            },
+        );
+        Answer::Granted
+    }
+
+    /// Records the end of a request by the holder of its claim.
+    pub fn settle(
+        &mut self,
+        id: (&str, &str),
+        holder: (u64, u64),
+        end: Stored,
+        at_ms: u64,
+    ) -> Answer {
+        let id = name(id);
+        let Some(claim) = self.claims.get_mut(&id) else {
+            return Answer::Missing;
+        };
+        let held = Phase::Held {
+            instance: holder.0,
+            incarnation: holder.1,
+        };
+        if claim.phase != held {
+            return Answer::Claimed(claim.clone());
+        }
+        if end == Stored::Released {
+            self.claims.swap_remove(&id);
+            return Answer::Done;
+        }
+        claim.phase = Phase::Ended(end);
+        claim.at_ms = at_ms;
+        Answer::Done
+    }
+
+    /// Removes claims older than they are kept.
+    pub fn expire(&mut self, at_ms: u64) {
+        self.claims
+            .retain(|_, claim| claim.at_ms + KEEP_MS >= at_ms);
+    }
+}
+
+/// Account names have no line feed, so the pair is unique.
+fn name((account, key): (&str, &str)) -> String {
+    format!("{account}\n{key}")
+}
--- a/crates/model/src/worker/announcement.rs
+++ b/crates/model/src/worker/announcement.rs
@@ -11,6 +11,9 @@
     pub worker: Worker,
     /// Grows with each announcement of this worker; starts from its wall clock in milliseconds.
     pub sequence: u64,
+    /// The worker's monotonic clock in milliseconds.
+    #[serde(default)]
+    pub clock_ms: u64,
     /// Every task it holds or has ended recently.
     #[serde(default)]
     pub tasks: Vec<Task>,
--- a/crates/model/src/worker/order.rs
+++ b/crates/model/src/worker/order.rs
@@ -34,8 +34,13 @@
     pub accelerators: Vec<u16>,
     /// What to do.
     pub action: Action,
-    /// The worker stops the task when this many milliseconds pass without another order.
+    /// Length of the lease in milliseconds; the worker stops the task when it ends.
     pub lease_ms: u64,
+    /// The worker's own clock as it gave it last. A lease counts from here, so that an order delayed on
+    /// its way or by a paused leader extends nothing beyond what its sender knew. Not used by `reserve`,
+    /// whose lease counts from its arrival.
+    #[serde(default)]
+    pub echo_ms: u64,
     /// The job's payload; only with `start`.
     #[serde(default)]
     pub payload: String,
