--- /dev/null
+++ b/crates/disk/src/folder/mod.rs
@@ -0,0 +1,6 @@
+//! The data folder of an instance.
+
+mod folder;
+
+pub use folder::Folder;
+pub(crate) use folder::Shared;
--- /dev/null
+++ b/crates/disk/src/store/mod.rs
@@ -0,0 +1,17 @@
+//! What one group keeps in the data folder.
+
+mod active;
+mod bounds;
+mod contents;
+mod files;
+mod loaded;
+mod replay;
+mod reserve;
+mod segment;
+mod store;
+mod terms;
+
+pub use {
+    contents::{Contents, Entry, Snapshot},
+    store::Store,
+};
