Add the job controller

Cause: the scheduler's decisions need to be committed and carried out. Change: control::jobs::Controller with one task per gang.

--- a/crates/control/src/follow/follower.rs
+++ b/crates/control/src/follow/follower.rs
@@ -38,7 +38,10 @@
 
     /// Number of the applied configuration; 0 if there is none.
     pub fn number(&self) -> u64 {
-        self.held().config.as_ref().map_or(0, |config| config.number)
+        self.held()
+            .config
+            .as_ref()
+            .map_or(0, |config| config.number)
     }
 
     /// Time until the lease ends.
--- a/crates/control/src/follow/ledger.rs
+++ b/crates/control/src/follow/ledger.rs
@@ -36,7 +36,10 @@
     pub fn grant(&mut self, follower: (u64, u64), applied: u64, now: Instant, lease: Duration) {
         let lease_end = now + lease + lease / DRIFT_DIVISOR;
         self.entries.retain(|_, entry| now < entry.lease_end);
-        let entry = self.entries.entry(follower).or_insert(Entry { applied, lease_end });
+        let entry = self
+            .entries
+            .entry(follower)
+            .or_insert(Entry { applied, lease_end });
         entry.applied = entry.applied.max(applied);
         entry.lease_end = entry.lease_end.max(lease_end);
     }
--- a/crates/control/src/group/codec.rs
+++ b/crates/control/src/group/codec.rs
@@ -3,18 +3,18 @@
     quorum::{Entry, Hard, Members, Payload, Snapshot, Stable},
 };
 
-/// Converts entries to what the disk stores.
-pub(super) fn to_disk(entries: &[Entry]) -> Result<Vec<disk::Entry>, Error> {
-    entries
+/// Appends entries to the store; they are durable after its next sync.
+pub(super) fn append(store: &mut disk::Store, entries: &[Entry]) -> Result<(), Error> {
+    let payloads = entries
         .iter()
-        .map(|entry| {
-            Ok(disk::Entry {
-                index: entry.index,
-                term: entry.term,
-                bytes: postcard::to_stdvec(&entry.payload)?,
-            })
-        })
-        .collect()
+        .map(|entry| postcard::to_stdvec(&entry.payload))
+        .collect::<Result<Vec<_>, _>>()?;
+    let records = entries
+        .iter()
+        .zip(&payloads)
+        .map(|(entry, payload)| (entry.index, entry.term, payload.as_slice()));
+    store.append(records)?;
+    Ok(())
 }
 
 /// Encodes the hard state.
--- a/crates/control/src/group/driver.rs
+++ b/crates/control/src/group/driver.rs
@@ -104,7 +104,10 @@
             if let Err(error) = self.step(events) {
                 // A failed write or sync may have lost what other replicas count on, so nothing more is
                 // sent or answered.
-                log::error!("event=replica_stopped group={} error=\"{error}\"", self.name);
+                log::error!(
+                    "event=replica_stopped group={} error=\"{error}\"",
+                    self.name
+                );
                 self.view().stopped = Some(error.to_string());
                 return;
             }
@@ -127,7 +130,10 @@
             Input::Deliver { sender, messages } => {
                 for bytes in messages {
                     match postcard::from_bytes::<Message>(&bytes) {
-                        Ok(message) => events.push_back(Event::Message { from: sender, message }),
+                        Ok(message) => events.push_back(Event::Message {
+                            from: sender,
+                            message,
+                        }),
                         Err(error) => log::warn!(
                             "event=message_malformed group={} sender={sender} error=\"{error}\"",
                             self.name
@@ -136,6 +142,10 @@
                 }
             }
             Input::Propose { command, reply } => {
+                if let Err(error) = self.store.check_space(command.len() as u64) {
+                    drop(reply.send(Verdict::NotRun(error.to_string())));
+                    return;
+                }
                 let ticket = self.ticket(Waiter::Propose(reply));
                 events.push_back(Event::Propose { ticket, command });
             }
@@ -205,7 +215,11 @@
     /// Hands one disk effect to the store; returns whether a sync is owed.
     fn persist(&mut self, effect: &Effect, events: &mut VecDeque<Event>) -> Result<bool, Error> {
         match effect {
-            Effect::Persist { hard, truncate, entries } => {
+            Effect::Persist {
+                hard,
+                truncate,
+                entries,
+            } => {
                 if let Some(hard) = hard {
                     self.store.set_hard(&codec::hard(hard)?)?;
                 }
@@ -213,7 +227,7 @@
                     self.store.truncate_from(*index)?;
                 }
                 if let Some(last) = entries.last() {
-                    self.store.append(&codec::to_disk(entries)?)?;
+                    codec::append(&mut self.store, entries)?;
                     events.push_back(Event::Synced { index: last.index });
                 }
                 Ok(true)
@@ -227,7 +241,9 @@
                     .restore(&snapshot.data)
                     .map_err(|error| Error::State(error.to_string()))?;
                 self.applied = (snapshot.index, snapshot.term);
-                events.push_back(Event::Synced { index: snapshot.index });
+                events.push_back(Event::Synced {
+                    index: snapshot.index,
+                });
                 Ok(true)
             }
             Effect::Save { snapshot } => {
@@ -240,7 +256,8 @@
 
     fn save(&mut self, snapshot: &Snapshot) -> Result<(), Error> {
         let bytes = codec::snapshot(snapshot)?;
-        self.store.save_snapshot(snapshot.index, snapshot.term, &bytes)?;
+        self.store
+            .save_snapshot(snapshot.index, snapshot.term, &bytes)?;
         Ok(())
     }
 
@@ -289,7 +306,9 @@
                 }
             }
             Outcome::NotLeader { leader } => Verdict::NotLeader(leader),
-            Outcome::Lost => Verdict::Unknown("the leader changed; resend with the same key".into()),
+            Outcome::Lost => {
+                Verdict::Unknown("the leader changed; resend with the same key".into())
+            }
             Outcome::Refused { reason } => Verdict::NotRun(refusal(reason)),
         }
     }
--- a/crates/control/src/group/group.rs
+++ b/crates/control/src/group/group.rs
@@ -52,7 +52,7 @@
         let empty = stable.entries.is_empty() && stable.snapshot.is_none();
         if empty && setup.found {
             stable = Stable::bootstrap(stable.incarnation, Members::new([member]));
-            store.append(&codec::to_disk(&stable.entries)?)?;
+            codec::append(&mut store, &stable.entries)?;
             store.sync()?;
         }
         let state = Arc::new(State::default());
@@ -109,8 +109,15 @@
     /// Proposes a command and waits until it is applied or known to be refused.
     pub async fn propose(&self, command: Vec<u8>) -> Verdict {
         let (reply, verdict) = oneshot::channel();
-        if self.inputs.try_send(Input::Propose { command, reply }).is_err() {
-            return Verdict::NotRun(format!("too many commands wait for the group {}", self.name));
+        if self
+            .inputs
+            .try_send(Input::Propose { command, reply })
+            .is_err()
+        {
+            return Verdict::NotRun(format!(
+                "too many commands wait for the group {}",
+                self.name
+            ));
         }
         verdict
             .await
--- a/crates/control/src/group/view.rs
+++ b/crates/control/src/group/view.rs
@@ -1,7 +1,4 @@
-use {
-    quorum::Members,
-    std::time::Instant,
-};
+use {quorum::Members, std::time::Instant};
 
 /// What a replica knew of its group after its last step.
 #[derive(Clone, Debug, Default)]
--- a/crates/control/src/jobs/gang.rs
+++ b/crates/control/src/jobs/gang.rs
@@ -53,7 +53,10 @@
         if let Some(job) = self.last() {
             orders
                 .send(&self.context, &job, Action::Stop, ORDER_LIMIT, |contact| {
-                    contact.tasks.iter().any(|task| task.state == TaskState::Reserved)
+                    contact
+                        .tasks
+                        .iter()
+                        .any(|task| task.state == TaskState::Reserved)
                 })
                 .await;
         }
@@ -94,7 +97,12 @@
             job.id,
             self.token
         );
-        if self.context.advance(job, Step::Release { reason }).await.is_none() {
+        if self
+            .context
+            .advance(job, Step::Release { reason })
+            .await
+            .is_none()
+        {
             self.pause().await;
         }
     }
@@ -115,7 +123,9 @@
             let (name, contact) = orders.contacts.iter().find(|(_, c)| c.tasks.is_empty())?;
             Some(format!("worker {name}: {}", contact.error))
         };
-        refused.or_else(silent).or_else(|| Some("not all tasks are reserved".into()))
+        refused
+            .or_else(silent)
+            .or_else(|| Some("not all tasks are reserved".into()))
     }
 
     async fn start(&self, job: &Job, orders: &mut Orders) {
@@ -127,7 +137,8 @@
             let settled = |state| matches!(state, TaskState::Running | TaskState::Done);
             orders
                 .send(&self.context, job, Action::Start, ORDER_LIMIT, |contact| {
-                    !contact.tasks.iter().all(|task| settled(task.state)) || contact.tasks.is_empty()
+                    !contact.tasks.iter().all(|task| settled(task.state))
+                        || contact.tasks.is_empty()
                 })
                 .await;
             let states: Vec<_> = orders.tasks().map(|(_, task)| task.state).collect();
@@ -143,7 +154,9 @@
             }
             let late = self.context.clock.now() - begin > self.context.settings.start_limit;
             if late {
-                return self.halt(job, "not all tasks started in time".into(), true).await;
+                return self
+                    .halt(job, "not all tasks started in time".into(), true)
+                    .await;
             }
             if self.job().is_none_or(|job| job.state != State::Starting) {
                 return;
@@ -161,7 +174,9 @@
             .send(&self.context, job, Action::Renew, ORDER_LIMIT, |_| true)
             .await;
         let members = job.attempt.as_ref().map_or(0, |a| a.members.len());
-        let done = orders.tasks().filter(|(_, task)| task.state == TaskState::Done);
+        let done = orders
+            .tasks()
+            .filter(|(_, task)| task.state == TaskState::Done);
         if done.count() == members {
             return self.finish(job, orders).await;
         }
@@ -170,7 +185,10 @@
         }
         let now = self.context.clock.now();
         let lease = self.context.settings.lease;
-        let silent = orders.contacts.iter().find(|(_, c)| now - c.answered > lease);
+        let silent = orders
+            .contacts
+            .iter()
+            .find(|(_, c)| now - c.answered > lease);
         if let Some((name, contact)) = silent {
             let reason = format!("worker {name} is silent: {}", contact.error);
             return self.halt(job, reason, true).await;
@@ -190,12 +208,24 @@
             drop(self.failures.send((self.id, worker.to_owned())));
         }
         let state = format!("{:?}", task.state).to_lowercase();
-        Some(format!("task {} {state} on worker {worker}: {}", task.task, task.detail))
+        Some(format!(
+            "task {} {state} on worker {worker}: {}",
+            task.task, task.detail
+        ))
     }
 
     async fn halt(&self, job: &Job, reason: String, failed: bool) {
-        log::info!("event=gang_stopping job={} token={} reason=\"{reason}\"", job.id, self.token);
-        if self.context.advance(job, Step::Stop { reason, failed }).await.is_none() {
+        log::info!(
+            "event=gang_stopping job={} token={} reason=\"{reason}\"",
+            job.id,
+            self.token
+        );
+        if self
+            .context
+            .advance(job, Step::Stop { reason, failed })
+            .await
+            .is_none()
+        {
             self.pause().await;
         }
     }
@@ -223,7 +253,9 @@
                 break;
             }
             orders
-                .send(&self.context, job, Action::Stop, ORDER_LIMIT, |c| !stopped(c))
+                .send(&self.context, job, Action::Stop, ORDER_LIMIT, |c| {
+                    !stopped(c)
+                })
                 .await;
             if orders.contacts.values().all(stopped) {
                 break;
@@ -238,15 +270,22 @@
 
     async fn settle(&self, job: &Job, orders: &Orders) {
         let members = job.attempt.as_ref().map_or(0, |a| a.members.len());
-        let done = orders.tasks().filter(|(_, task)| task.state == TaskState::Done);
+        let done = orders
+            .tasks()
+            .filter(|(_, task)| task.state == TaskState::Done);
         if done.count() == members && !job.cancelled {
             return self.finish(job, orders).await;
         }
-        let failed = orders.tasks().find(|(_, task)| task.state == TaskState::Failed);
+        let failed = orders
+            .tasks()
+            .find(|(_, task)| task.state == TaskState::Failed);
         let step = match failed {
             Some((worker, task)) if !job.spec.repeatable && !job.cancelled => Step::End {
                 state: State::Failed,
-                detail: format!("task {} failed on worker {worker}: {}", task.task, task.detail),
+                detail: format!(
+                    "task {} failed on worker {worker}: {}",
+                    task.task, task.detail
+                ),
             },
             _ => Step::Requeue {
                 reason: job.detail.clone(),
--- /dev/null
+++ b/crates/control/src/jobs/lead.rs
@@ -0,0 +1,356 @@
+use {
+    super::{
+        Context,
+        gang::{Failure, Gang},
+    },
+    crate::{
+        state::{Command, Step},
+        worker::Seen,
+    },
+    ::gang::{Decision, Event, Reason, Scheduler},
+    futures::future,
+    indexmap::{IndexMap, IndexSet},
+    model::job::{Job, State},
+    std::{
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::{Duration, Instant},
+    },
+    tokio::{
+        sync::{Notify, mpsc},
+        task::JoinHandle,
+    },
+};
+
+/// Interval of the scheduler's ticks.
+const TICK: Duration = Duration::from_millis(250);
+
+/// Interval at which old records are removed.
+const EXPIRE_EVERY: Duration = Duration::from_secs(600);
+
+/// A gang that is being carried out.
+struct Running {
+    token: u64,
+    wake: Arc<Notify>,
+    task: JoinHandle<()>,
+}
+
+/// What the leader of a region group knows and does about jobs in one term.
+pub(super) struct Lead {
+    context: Context,
+    scheduler: Arc<Mutex<Scheduler>>,
+    gangs: IndexMap<u64, Running>,
+    config_number: u64,
+    silent: IndexSet<String>,
+    drained: IndexSet<String>,
+    failures: mpsc::UnboundedReceiver<Failure>,
+    failure_sender: mpsc::UnboundedSender<Failure>,
+    last_tick: Option<Instant>,
+    last_expire: Instant,
+}
+
+impl Drop for Lead {
+    fn drop(&mut self) {
+        for running in self.gangs.values() {
+            running.task.abort();
+        }
+    }
+}
+
+impl Lead {
+    /// Rebuilds the scheduler from the replicated jobs and the announced workers.
+    pub(super) fn new(context: Context, scheduler: Arc<Mutex<Scheduler>>) -> Lead {
+        let now = context.clock.now();
+        let settings = ::gang::Settings {
+            regions: context.settings.regions.clone(),
+            ..::gang::Settings::default()
+        };
+        let (failure_sender, failures) = mpsc::unbounded_channel();
+        let mut lead = Lead {
+            scheduler,
+            gangs: IndexMap::new(),
+            config_number: 0,
+            silent: IndexSet::new(),
+            drained: IndexSet::new(),
+            failures,
+            failure_sender,
+            last_tick: None,
+            last_expire: now,
+            context,
+        };
+        *lead.scheduler() = Scheduler::new(settings);
+        lead.configure(now);
+        lead.context.registry.take_fresh();
+        for seen in lead.context.registry.list() {
+            lead.hear(&seen, now);
+        }
+        let jobs: Vec<Job> = {
+            let mut jobs = lead.context.group.state().jobs();
+            jobs.take_changed();
+            jobs.iter()
+                .filter(|job| !job.state.is_end())
+                .cloned()
+                .collect()
+        };
+        for job in jobs {
+            lead.observe(Event::Accepted(Box::new(job.clone())), now);
+            lead.carry_out(&job);
+        }
+        lead
+    }
+
+    fn scheduler(&self) -> MutexGuard<'_, Scheduler> {
+        self.scheduler
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn observe(&self, event: Event, now: Instant) {
+        self.scheduler().observe(event, now);
+    }
+
+    /// One round: takes in what changed, decides, and commits the decisions.
+    pub(super) async fn round(&mut self) {
+        let now = self.context.clock.now();
+        self.configure(now);
+        self.hear_workers(now);
+        self.drain(now);
+        while let Ok((job, worker)) = self.failures.try_recv() {
+            self.observe(Event::TaskFailed { job, worker }, now);
+        }
+        self.take_changes(now);
+        if self.last_tick.is_none_or(|last| now - last >= TICK) {
+            self.last_tick = Some(now);
+            let wall_ms = self.context.clock.wall_ms();
+            self.observe(Event::Tick { wall_ms }, now);
+        }
+        let decisions = self.scheduler().decide(now);
+        self.commit(decisions, now).await;
+        if now - self.last_expire >= EXPIRE_EVERY {
+            self.last_expire = now;
+            let at_ms = self.context.clock.wall_ms();
+            self.context.commit(&Command::Expire { at_ms }).await;
+        }
+    }
+
+    fn configure(&mut self, now: Instant) {
+        let Some(config) = self.context.follower.current(now) else {
+            return;
+        };
+        if config.number != self.config_number {
+            self.config_number = config.number;
+            self.observe(Event::Configured(Box::new((*config).clone())), now);
+        }
+    }
+
+    fn hear_workers(&mut self, now: Instant) {
+        for seen in self.context.registry.take_fresh() {
+            self.hear(&seen, now);
+        }
+        let settings = &self.context.settings;
+        for seen in self.context.registry.list() {
+            let name = &seen.announcement.worker.name;
+            let quiet = now.saturating_duration_since(seen.heard);
+            if quiet > settings.lease_over() {
+                log::warn!("event=worker_lost worker={name}");
+                self.context.registry.remove(name);
+                self.silent.shift_remove(name);
+                self.observe(
+                    Event::WorkerLost {
+                        worker: name.clone(),
+                    },
+                    now,
+                );
+            } else if quiet > settings.silent_after && self.silent.insert(name.clone()) {
+                log::warn!("event=worker_silent worker={name}");
+                self.observe(
+                    Event::WorkerSilent {
+                        worker: name.clone(),
+                    },
+                    now,
+                );
+            }
+        }
+    }
+
+    fn hear(&mut self, seen: &Seen, now: Instant) {
+        let worker = seen.announcement.worker.clone();
+        self.silent.shift_remove(&worker.name);
+        for task in &seen.announcement.tasks {
+            if let Some(running) = self.gangs.get(&task.job)
+                && running.token == task.token
+            {
+                running.wake.notify_one();
+            }
+        }
+        let event = Event::WorkerSeen {
+            worker: Box::new(worker),
+            tasks: seen.announcement.tasks.clone(),
+        };
+        self.observe(event, now);
+    }
+
+    fn drain(&mut self, now: Instant) {
+        let wanted = self.context.group.state().drains().workers.clone();
+        if wanted == self.drained {
+            return;
+        }
+        for worker in wanted.difference(&self.drained) {
+            self.observe(
+                Event::WorkerDrained {
+                    worker: worker.clone(),
+                },
+                now,
+            );
+        }
+        for worker in self.drained.difference(&wanted) {
+            self.observe(
+                Event::WorkerReturned {
+                    worker: worker.clone(),
+                },
+                now,
+            );
+        }
+        self.drained = wanted;
+    }
+
+    fn take_changes(&mut self, now: Instant) {
+        let changed: Vec<Job> = {
+            let mut jobs = self.context.group.state().jobs();
+            let ids: IndexSet<u64> = jobs.take_changed().into_iter().collect();
+            ids.iter().filter_map(|id| jobs.get(*id).cloned()).collect()
+        };
+        for job in changed {
+            if job.cancelled {
+                self.observe(Event::Cancelled { job: job.id }, now);
+            }
+            let event = if job.attempt.is_none() && job.state == State::Queued {
+                Event::Accepted(Box::new(job.clone()))
+            } else {
+                Event::Changed(Box::new(job.clone()))
+            };
+            self.observe(event, now);
+            self.carry_out(&job);
+        }
+        self.gangs.retain(|_, running| !running.task.is_finished());
+    }
+
+    /// Starts the task that carries out the job's attempt, or wakes the one that does.
+    fn carry_out(&mut self, job: &Job) {
+        let Some(attempt) = job.attempt.as_ref().filter(|_| job.state.holds()) else {
+            if let Some(running) = self.gangs.get(&job.id) {
+                running.wake.notify_one();
+            }
+            return;
+        };
+        if let Some(running) = self.gangs.get(&job.id)
+            && running.token == attempt.token
+            && !running.task.is_finished()
+        {
+            running.wake.notify_one();
+            return;
+        }
+        let wake = Arc::new(Notify::new());
+        let gang = Gang {
+            context: self.context.clone(),
+            id: job.id,
+            token: attempt.token,
+            wake: wake.clone(),
+            failures: self.failure_sender.clone(),
+        };
+        let running = Running {
+            token: attempt.token,
+            wake,
+            task: tokio::spawn(gang.run()),
+        };
+        self.gangs.insert(job.id, running);
+    }
+
+    async fn commit(&mut self, decisions: Vec<Decision>, now: Instant) {
+        let mut steps = Vec::new();
+        for decision in decisions {
+            match decision {
+                Decision::Place {
+                    job,
+                    members,
+                    borrowed,
+                } => {
+                    steps.push(self.step(job, Step::Place { members, borrowed }));
+                }
+                Decision::Reclaim { job, reason } => steps.push(self.reclaim(job, &reason)),
+                Decision::Fail { job, reason } => steps.push(self.step(
+                    job,
+                    Step::End {
+                        state: State::Failed,
+                        detail: reason.to_string(),
+                    },
+                )),
+                Decision::Quarantine { worker } => {
+                    log::warn!("event=worker_quarantined worker={worker}");
+                }
+                Decision::Probe { worker } => self.probe(worker, now),
+                Decision::Owed { shortfalls } => {
+                    for shortfall in &shortfalls {
+                        log::warn!("event=guarantee_owed shortfall=\"{shortfall}\"");
+                    }
+                }
+                Decision::Straggler {
+                    job,
+                    elapsed,
+                    usual,
+                } => log::info!(
+                    "event=straggler job={job} elapsed_s={} usual_s={}",
+                    elapsed.as_secs(),
+                    usual.as_secs()
+                ),
+            }
+        }
+        for (job, moved) in future::join_all(steps).await {
+            if !moved {
+                self.observe(Event::Rejected { job }, now);
+            }
+        }
+    }
+
+    fn reclaim(&self, job: u64, reason: &Reason) -> future::BoxFuture<'static, (u64, bool)> {
+        let state = self
+            .context
+            .group
+            .state()
+            .jobs()
+            .get(job)
+            .map(|job| job.state);
+        let reason = reason.to_string();
+        let step = match state {
+            Some(State::Placed) => Step::Release { reason },
+            Some(State::Queued) => Step::End {
+                state: State::Failed,
+                detail: reason,
+            },
+            _ => Step::Stop {
+                reason,
+                failed: false,
+            },
+        };
+        self.step(job, step)
+    }
+
+    fn step(&self, id: u64, step: Step) -> future::BoxFuture<'static, (u64, bool)> {
+        let context = self.context.clone();
+        let job = context.group.state().jobs().get(id).cloned();
+        Box::pin(async move {
+            let moved = match job {
+                Some(job) => context.advance(&job, step).await.is_some(),
+                None => false,
+            };
+            (id, moved)
+        })
+    }
+
+    /// A quarantined worker passes when it answers; its next failed job takes it out again.
+    fn probe(&self, worker: String, now: Instant) {
+        let passed = self.context.registry.get(&worker).is_some_and(|seen| {
+            now.saturating_duration_since(seen.heard) < self.context.settings.silent_after
+        });
+        self.observe(Event::Probed { worker, passed }, now);
+    }
+}
--- a/crates/control/src/jobs/orders.rs
+++ b/crates/control/src/jobs/orders.rs
@@ -44,7 +44,9 @@
         };
         let workers = attempt.members.iter().map(|member| member.worker.clone());
         Orders {
-            contacts: workers.map(|worker| (worker.clone(), contact(&worker))).collect(),
+            contacts: workers
+                .map(|worker| (worker.clone(), contact(&worker)))
+                .collect(),
         }
     }
 
@@ -70,7 +72,9 @@
                 continue;
             };
             let orders = orders(context, job, attempt, (name, contact.echo_ms), action);
-            let call = context.link.order(&seen.announcement.worker.address, orders);
+            let call = context
+                .link
+                .order(&seen.announcement.worker.address, orders);
             let name = name.clone();
             calls.push(async move { (name, time::timeout(limit, call).await) });
         }
@@ -105,7 +109,10 @@
     (worker, echo_ms): (&str, u64),
     action: Action,
 ) -> Vec<Order> {
-    let members = attempt.members.iter().filter(|member| member.worker == worker);
+    let members = attempt
+        .members
+        .iter()
+        .filter(|member| member.worker == worker);
     members
         .map(|member| Order {
             token: attempt.token,
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,4 +1,8 @@
 //! Drives the groups of replicas, the controllers of jobs and the connections between instances.
 
+pub mod follow;
+pub mod group;
+pub mod jobs;
 pub mod peers;
 pub mod state;
+pub mod worker;
--- a/crates/control/src/worker/link.rs
+++ b/crates/control/src/worker/link.rs
@@ -27,5 +27,6 @@
 /// Sends orders to workers.
 pub trait Link: Send + Sync {
     /// Sends orders to the worker at `address` and returns its answer.
-    fn order(&self, address: &str, orders: Vec<Order>) -> BoxFuture<'static, Result<Answer, Error>>;
+    fn order(&self, address: &str, orders: Vec<Order>)
+    -> BoxFuture<'static, Result<Answer, Error>>;
 }
