Add the consensus core of the control groups

The control crate needs a replicated log whose behaviour can be tested without sockets, disks or clocks.

--- /dev/null
+++ b/crates/quorum/src/entry/mod.rs
@@ -0,0 +1,6 @@
+//! Log entries.
+
+mod entry;
+mod payload;
+
+pub use {entry::Entry, payload::Payload};
--- /dev/null
+++ b/crates/quorum/src/event/effect.rs
@@ -0,0 +1,64 @@
+use {
+    super::Outcome,
+    crate::{Entry, Hard, Message, Snapshot},
+};
+
+/// Output of [`Node::step`](crate::Node::step).
+///
+/// The driver performs the effects of one step in their order, and those of a later step after
+/// those of an earlier one, with these relaxations:
+///
+/// - Disk effects (`Persist`, `Restore`, `Save`) form one ordered queue. The node may be stepped
+///   again while that queue is being written.
+/// - A `Send` waits until every earlier `Persist` with a `hard` and every earlier `Restore` is
+///   synced. It need not wait for a `Persist` that carries only entries: the node itself acknowledges
+///   and counts entries only after [`Event::Synced`](super::Event::Synced).
+/// - `Apply` and `Done` need not wait for the disk queue, except for an earlier `Restore`.
+///
+/// A failed write or sync must stop the replica: nothing that was queued behind it may be performed.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// Write to the log and sync, then report [`Event::Synced`](super::Event::Synced) if `entries`
+    /// is not empty.
+    Persist {
+        /// Replaces the stored hard state.
+        hard: Option<Hard>,
+        /// Before appending, drop all stored entries with this index or a higher one.
+        truncate: Option<u64>,
+        /// Entries to append, contiguous.
+        entries: Vec<Entry>,
+    },
+    /// Send a message to the replica with id `to`. May be dropped.
+    Send {
+        /// Id of the receiver.
+        to: u64,
+        /// The message.
+        message: Message,
+    },
+    /// Apply a committed entry to the state machine. Entries arrive in order and without gaps;
+    /// payloads other than `Command` do not change the state but advance the applied index.
+    Apply {
+        /// The entry; it is on the local disk.
+        entry: Entry,
+    },
+    /// Replace the state machine's state, save the snapshot, drop the whole stored log, sync, and
+    /// report [`Event::Synced`](super::Event::Synced) with the snapshot's index. After a crash the
+    /// disk must hold either the old snapshot and log or the new snapshot and an empty log.
+    Restore {
+        /// The snapshot.
+        snapshot: Snapshot,
+    },
+    /// Save the snapshot built from [`Event::Compacted`](super::Event::Compacted) and sync it; then
+    /// stored entries up to its index may be removed. Nothing is reported back.
+    Save {
+        /// The snapshot.
+        snapshot: Snapshot,
+    },
+    /// The request with this ticket ended. Each ticket ends once.
+    Done {
+        /// Ticket of the request.
+        ticket: u64,
+        /// How it ended.
+        outcome: Outcome,
+    },
+}
--- /dev/null
+++ b/crates/quorum/src/log/log.rs
@@ -0,0 +1,144 @@
+use crate::{Entry, Members, Payload, Stable};
+
+/// The entries after a base index, and the member lists they carry.
+#[derive(Debug)]
+pub(crate) struct Log {
+    base_index: u64,
+    base_term: u64,
+    entries: Vec<Entry>,
+    /// Member lists by the index of their entry, ascending. The first may lie at or before the base.
+    lists: Vec<(u64, Members)>,
+}
+
+impl Log {
+    /// # Panics
+    ///
+    /// Panics if the stored entries have a gap: starting without them could lose acknowledged entries.
+    pub fn new(stable: &mut Stable) -> Log {
+        let mut log = match &stable.snapshot {
+            Some(snapshot) => Log::after(snapshot.index, snapshot.term, snapshot.members.clone()),
+            None => Log::after(0, 0, Members::default()),
+        };
+        for entry in std::mem::take(&mut stable.entries) {
+            if entry.index > log.base_index {
+                assert_eq!(
+                    entry.index,
+                    log.last_index() + 1,
+                    "the stored log has a gap"
+                );
+                log.append(entry);
+            }
+        }
+        log
+    }
+
+    /// An empty log that follows a snapshot.
+    pub fn after(index: u64, term: u64, members: Members) -> Log {
+        Log {
+            base_index: index,
+            base_term: term,
+            entries: Vec::new(),
+            lists: vec![(index, members)],
+        }
+    }
+
+    pub fn first_index(&self) -> u64 {
+        self.base_index + 1
+    }
+
+    pub fn last_index(&self) -> u64 {
+        self.base_index + self.entries.len() as u64
+    }
+
+    pub fn last_term(&self) -> u64 {
+        self.entries
+            .last()
+            .map_or(self.base_term, |entry| entry.term)
+    }
+
+    /// Term of an entry, or of the base.
+    pub fn term(&self, index: u64) -> Option<u64> {
+        if index == self.base_index {
+            return Some(self.base_term);
+        }
+        self.get(index).map(|entry| entry.term)
+    }
+
+    pub fn get(&self, index: u64) -> Option<&Entry> {
+        let position = index.checked_sub(self.first_index())?;
+        self.entries.get(usize::try_from(position).ok()?)
+    }
+
+    /// Entries from `index` on.
+    pub fn tail(&self, index: u64) -> &[Entry] {
+        let position = index.saturating_sub(self.first_index()) as usize;
+        &self.entries[position.min(self.entries.len())..]
+    }
+
+    /// Entries from `index` on with at most `bytes` in total, but at least one if there is one.
+    pub fn batch(&self, index: u64, bytes: usize) -> &[Entry] {
+        let tail = self.tail(index);
+        let mut total = 0;
+        let count = tail
+            .iter()
+            .take_while(|entry| {
+                total += entry.size();
+                total <= bytes
+            })
+            .count();
+        &tail[..count.max(1).min(tail.len())]
+    }
+
+    pub fn append(&mut self, entry: Entry) {
+        if let Payload::Members(members) = &entry.payload {
+            self.lists.push((entry.index, members.clone()));
+        }
+        self.entries.push(entry);
+    }
+
+    /// Drops the entries from `index` on.
+    pub fn truncate(&mut self, index: u64) {
+        let length = index.saturating_sub(self.first_index()) as usize;
+        self.entries.truncate(length);
+        self.lists
+            .retain(|(at, _)| *at < index || *at <= self.base_index);
+    }
+
+    /// Drops the entries up to `index`.
+    pub fn compact(&mut self, index: u64) {
+        let Some(term) = self.term(index) else { return };
+        let covered = self.lists.iter().filter(|(at, _)| *at <= index).count();
+        self.lists.drain(..covered.saturating_sub(1));
+        self.entries.drain(..(index - self.base_index) as usize);
+        self.base_index = index;
+        self.base_term = term;
+    }
+
+    /// The latest member list, committed or not.
+    pub fn members(&self) -> &Members {
+        &self.lists[self.lists.len() - 1].1
+    }
+
+    /// Index of the entry that carries the latest member list.
+    pub fn members_index(&self) -> u64 {
+        self.lists[self.lists.len() - 1].0
+    }
+
+    /// The member list in force as of `index`.
+    pub fn members_at(&self, index: u64) -> &Members {
+        let position = self.lists.iter().rposition(|(at, _)| *at <= index);
+        &self.lists[position.unwrap_or(0)].1
+    }
+
+    /// The last entry at or before `index` whose term is at most `term`.
+    pub fn last_not_after(&self, index: u64, term: u64) -> (u64, u64) {
+        let mut index = index.min(self.last_index());
+        while let Some(found) = self.term(index) {
+            if found <= term || index == self.base_index {
+                return (index, found);
+            }
+            index -= 1;
+        }
+        (index, 0)
+    }
+}
--- /dev/null
+++ b/crates/quorum/src/log/mod.rs
@@ -0,0 +1,5 @@
+//! In-memory copy of the replicated log.
+
+mod log;
+
+pub(crate) use log::Log;
--- /dev/null
+++ b/crates/quorum/src/member/change.rs
@@ -0,0 +1,57 @@
+use {
+    super::{Member, Members, Refusal},
+    serde::{Deserialize, Serialize},
+};
+
+/// A membership change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Change {
+    /// Add a learner. Replaces a learner with the same id and another incarnation.
+    Join(Member),
+    /// Make a learner a voter and remove every other pair with its id. Refused until the learner
+    /// holds everything that was committed when the change was proposed.
+    Promote(Member),
+    /// Remove a voter or learner.
+    Remove(Member),
+}
+
+impl Change {
+    /// The list that results from the change; joint if the voters differ.
+    pub fn apply(&self, members: &Members) -> Result<Members, Refusal> {
+        let mut next = members.clone();
+        match *self {
+            Change::Join(member) => {
+                if members.all().contains(&member) {
+                    return Err(Refusal::AlreadyMember);
+                }
+                next.learners.retain(|learner| learner.id != member.id);
+                next.learners.push(member);
+            }
+            Change::Promote(member) => {
+                if members.voters.contains(&member) {
+                    return Err(Refusal::AlreadyMember);
+                }
+                if !members.is_learner(member) {
+                    return Err(Refusal::UnknownMember);
+                }
+                next.learners.retain(|learner| learner.id != member.id);
+                next.voters.retain(|voter| voter.id != member.id);
+                next.voters.push(member);
+            }
+            Change::Remove(member) => {
+                if !members.all().contains(&member) {
+                    return Err(Refusal::UnknownMember);
+                }
+                next.learners.retain(|learner| *learner != member);
+                next.voters.retain(|voter| *voter != member);
+                if next.voters.is_empty() {
+                    return Err(Refusal::LastVoter);
+                }
+            }
+        }
+        if next.voters != members.voters {
+            next.outgoing = members.voters.clone();
+        }
+        Ok(next)
+    }
+}
--- /dev/null
+++ b/crates/quorum/src/member/mod.rs
@@ -0,0 +1,9 @@
+//! Group membership.
+
+mod change;
+mod member;
+mod members;
+mod recover;
+mod refusal;
+
+pub use {change::Change, member::Member, members::Members, recover::recover, refusal::Refusal};
--- /dev/null
+++ b/crates/quorum/src/message/mod.rs
@@ -0,0 +1,6 @@
+//! Messages between the replicas of a group.
+
+mod body;
+mod message;
+
+pub use {body::Body, message::Message};
--- /dev/null
+++ b/crates/quorum/src/node/contact.rs
@@ -0,0 +1,174 @@
+use {
+    super::{Node, Role},
+    crate::{Body, Member, Message, Outcome, settings::Fault},
+    rand::RngExt,
+    std::time::Instant,
+};
+
+/// Terms, roles, leases and the dispatch of messages.
+impl Node {
+    pub(super) fn tick(&mut self) {
+        match &self.role {
+            Role::Leader(lead) if self.now >= lead.next_heartbeat => self.heartbeat(),
+            Role::Leader(_) => {}
+            _ if self.now >= self.deadline => self.campaign(),
+            _ => {}
+        }
+    }
+
+    pub(super) fn receive(&mut self, from: u64, message: Message) {
+        if message.target != self.me.incarnation && !self.has_fault(Fault::ReplacedDisk) {
+            return;
+        }
+        let from = self.identify(from, message.sender);
+        match message.body {
+            Body::PreVote {
+                next_term,
+                last_index,
+                last_term,
+            } => {
+                return self.on_pre_vote(from, next_term, last_index, last_term);
+            }
+            // The voter's term may be lower: a pre-vote does not raise it.
+            Body::PreVoteReply {
+                next_term,
+                granted: true,
+            } => {
+                return self.on_pre_vote_grant(from, next_term);
+            }
+            Body::Vote {
+                transfer: false, ..
+            } if self.in_contact() => return,
+            _ => {}
+        }
+        if message.term > self.term {
+            self.follow(message.term, None);
+        } else if message.term < self.term {
+            return self.on_old_term(from, message.body);
+        }
+        match message.body {
+            Body::Append { .. } | Body::Heartbeat { .. } | Body::Chunk { .. } => {
+                self.on_leader(from, message.body);
+            }
+            Body::Vote {
+                last_index,
+                last_term,
+                ..
+            } => self.on_vote(from, last_index, last_term),
+            Body::VoteReply { granted } => self.on_vote_reply(from, granted),
+            Body::TimeoutNow => self.on_timeout_now(),
+            reply => self.on_reply(from, reply),
+        }
+    }
+
+    /// The pair a message came from.
+    fn identify(&self, id: u64, incarnation: u64) -> Member {
+        if self.has_fault(Fault::ReplacedDisk) {
+            let known = self.log.members().all();
+            if let Some(member) = known.into_iter().find(|member| member.id == id) {
+                return member;
+            }
+        }
+        Member { id, incarnation }
+    }
+
+    /// Tells a stale leader or candidate about the newer term.
+    fn on_old_term(&mut self, from: Member, body: Body) {
+        match body {
+            Body::Append { .. } | Body::Heartbeat { .. } | Body::Chunk { .. } => {
+                self.send(from, Body::HeartbeatReply { round: 0 });
+            }
+            Body::Vote { .. } => self.send(from, Body::VoteReply { granted: false }),
+            _ => {}
+        }
+    }
+
+    /// Whether a leader may hold a lease that relies on this replica.
+    pub(super) fn in_contact(&self) -> bool {
+        self.is_leading() || self.now < self.heard + self.settings.election_min
+    }
+
+    /// Becomes a follower in `term`.
+    pub(super) fn follow(&mut self, term: u64, leader: Option<Member>) {
+        if term > self.term {
+            self.term = term;
+            self.vote = None;
+            self.verified = 0;
+            self.heard_round = 0;
+            self.persist_hard();
+        }
+        self.leader = leader;
+        if let Role::Leader(lead) = std::mem::replace(&mut self.role, Role::Follower) {
+            self.verified = 0;
+            for (_, ticket) in &lead.proposals {
+                self.done(*ticket, Outcome::Lost);
+            }
+            if let Some(ticket) = lead.change {
+                self.done(ticket, Outcome::Lost);
+            }
+            let leader = self.leader();
+            for read in &lead.reads {
+                self.done(read.ticket, Outcome::NotLeader { leader });
+            }
+            self.reset_deadline();
+        }
+    }
+
+    pub(super) fn reset_deadline(&mut self) {
+        let range = self.settings.election_min..=self.settings.election_max;
+        self.deadline = self.now + self.rng.random_range(range);
+    }
+
+    pub(super) fn is_leading(&self) -> bool {
+        matches!(self.role, Role::Leader(_))
+    }
+
+    /// When the lease from acknowledged heartbeats ends.
+    fn lease_end(&self) -> Option<Instant> {
+        let Role::Leader(lead) = &self.role else {
+            return None;
+        };
+        let acked = self.log.members().quorum(|member| {
+            if member == self.me {
+                Some(self.now)
+            } else {
+                lead.progress
+                    .get(&member)
+                    .and_then(|progress| progress.acked)
+            }
+        });
+        acked.flatten().map(|acked| acked + self.settings.lease())
+    }
+
+    /// Whether reads may be answered without asking the others.
+    pub(super) fn has_lease(&self) -> bool {
+        if self.has_fault(Fault::ExpiredLease) {
+            return true;
+        }
+        let handing_over = match &self.role {
+            Role::Leader(lead) => lead.handover.as_ref().is_some_and(|handover| handover.sent),
+            _ => true,
+        };
+        !handing_over && self.lease_end().is_some_and(|end| self.now < end)
+    }
+
+    /// Steps down if no majority has answered for the duration of a lease, whether the others could
+    /// not be reached or this process was paused, and ends an overdue transfer.
+    pub(super) fn check_lease(&mut self) {
+        let Role::Leader(lead) = &mut self.role else {
+            return;
+        };
+        let mut expired = false;
+        if let Some(handover) = lead
+            .handover
+            .take_if(|handover| self.now >= handover.deadline)
+        {
+            expired = handover.sent;
+        }
+        let grace = lead.elected + self.settings.lease();
+        let end = self.lease_end().map_or(grace, |end| end.max(grace));
+        if expired || (self.now >= end && !self.has_fault(Fault::ExpiredLease)) {
+            self.follow(self.term, None);
+        }
+    }
+}
--- /dev/null
+++ b/crates/quorum/src/node/election.rs
@@ -0,0 +1,147 @@
+use {
+    super::{Lead, Node, Role},
+    crate::{Body, Entry, Member, Payload, settings::Fault},
+};
+
+/// Elections.
+impl Node {
+    /// Starts a pre-vote if this replica is a voter.
+    pub(super) fn campaign(&mut self) {
+        self.reset_deadline();
+        self.leader = None;
+        if !self.log.members().is_voter(self.me) {
+            return;
+        }
+        self.role = Role::PreCandidate(vec![self.me]);
+        if self.has_majority() {
+            return self.stand(false);
+        }
+        let (last_index, last_term) = (self.log.last_index(), self.log.last_term());
+        for member in self.other_voters() {
+            let next_term = self.term + 1;
+            self.send(
+                member,
+                Body::PreVote {
+                    next_term,
+                    last_index,
+                    last_term,
+                },
+            );
+        }
+    }
+
+    /// Asks for votes in a new term.
+    fn stand(&mut self, transfer: bool) {
+        self.reset_deadline();
+        self.term += 1;
+        self.vote = Some(self.me);
+        self.leader = None;
+        self.verified = 0;
+        self.heard_round = 0;
+        self.persist_hard();
+        self.role = Role::Candidate(vec![self.me]);
+        if self.has_majority() {
+            return self.lead();
+        }
+        let (last_index, last_term) = (self.log.last_index(), self.log.last_term());
+        for member in self.other_voters() {
+            self.send(
+                member,
+                Body::Vote {
+                    last_index,
+                    last_term,
+                    transfer,
+                },
+            );
+        }
+    }
+
+    fn lead(&mut self) {
+        let start = self.log.last_index() + 1;
+        self.leader = Some(self.me);
+        self.partial = None;
+        self.role = Role::Leader(Box::new(Lead::new(start, self.now)));
+        self.append(Entry {
+            index: start,
+            term: self.term,
+            payload: Payload::Empty,
+        });
+        self.update_progress(start);
+        self.heartbeat();
+        self.replicate_all();
+    }
+
+    fn other_voters(&self) -> Vec<Member> {
+        let members = self.log.members();
+        let mut others = members.all();
+        others.retain(|member| *member != self.me && members.is_voter(*member));
+        others
+    }
+
+    fn has_majority(&self) -> bool {
+        let (Role::PreCandidate(votes) | Role::Candidate(votes)) = &self.role else {
+            return false;
+        };
+        self.log.members().quorum(|member| votes.contains(&member)) == Some(true)
+    }
+
+    fn is_up_to_date(&self, last_index: u64, last_term: u64) -> bool {
+        (last_term, last_index) >= (self.log.last_term(), self.log.last_index())
+    }
+
+    pub(super) fn on_pre_vote(&mut self, from: Member, next_term: u64, index: u64, term: u64) {
+        let granted =
+            next_term > self.term && !self.in_contact() && self.is_up_to_date(index, term);
+        self.send(from, Body::PreVoteReply { next_term, granted });
+    }
+
+    pub(super) fn on_pre_vote_grant(&mut self, from: Member, next_term: u64) {
+        let next = self.term + 1;
+        if let Role::PreCandidate(votes) = &mut self.role
+            && next_term == next
+            && !votes.contains(&from)
+        {
+            votes.push(from);
+            if self.has_majority() {
+                self.stand(false);
+            }
+        }
+    }
+
+    /// Votes for a candidate of the current term.
+    pub(super) fn on_vote(&mut self, from: Member, last_index: u64, last_term: u64) {
+        let free = self.vote.is_none_or(|vote| vote == from);
+        let granted = free && !self.is_leading() && self.is_up_to_date(last_index, last_term);
+        let early = self.has_fault(Fault::VoteBeforeSync);
+        if granted && early {
+            self.send(from, Body::VoteReply { granted });
+        }
+        if granted && self.vote.is_none() {
+            self.vote = Some(from);
+            self.persist_hard();
+            self.reset_deadline();
+        }
+        if !(granted && early) {
+            self.send(from, Body::VoteReply { granted });
+        }
+    }
+
+    pub(super) fn on_vote_reply(&mut self, from: Member, granted: bool) {
+        if let Role::Candidate(votes) = &mut self.role
+            && granted
+            && !votes.contains(&from)
+        {
+            votes.push(from);
+            if self.has_majority() {
+                self.lead();
+            }
+        }
+    }
+
+    /// The leader of the current term hands over to this replica.
+    pub(super) fn on_timeout_now(&mut self) {
+        if matches!(self.role, Role::Follower) && self.log.members().is_voter(self.me) {
+            self.stand(true);
+        }
+    }
+}
--- /dev/null
+++ b/crates/quorum/src/node/flights.rs
@@ -0,0 +1,33 @@
+use std::{collections::VecDeque, time::Instant};
+
+/// Messages with entries that were not acknowledged yet.
+#[derive(Debug, Default)]
+pub(super) struct Flights {
+    /// Last entry, size in bytes and time of each message.
+    queue: VecDeque<(u64, usize, Instant)>,
+    bytes: usize,
+}
+
+impl Flights {
+    /// Bytes of all entries on the way.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// When the oldest message was sent.
+    pub fn oldest(&self) -> Option<Instant> {
+        self.queue.front().map(|(_, _, sent)| *sent)
+    }
+
+    pub fn push(&mut self, last: u64, bytes: usize, sent: Instant) {
+        self.queue.push_back((last, bytes, sent));
+        self.bytes += bytes;
+    }
+
+    /// Forgets the messages whose entries are all acknowledged.
+    pub fn landed(&mut self, matched: u64) {
+        while let Some((_, bytes, _)) = self.queue.pop_front_if(|(last, _, _)| *last <= matched) {
+            self.bytes -= bytes;
+        }
+    }
+}
--- /dev/null
+++ b/crates/quorum/src/node/replicate.rs
@@ -0,0 +1,167 @@
+use {
+    super::{Mode, Node, Progress, Role},
+    crate::{Body, Entry, Member},
+};
+
+/// The leader's side of replication.
+impl Node {
+    /// Starts a heartbeat round.
+    pub(super) fn heartbeat(&mut self) {
+        let Role::Leader(lead) = &mut self.role else {
+            return;
+        };
+        let round = lead.open_round(self.now);
+        lead.next_heartbeat = self.now + self.settings.heartbeat;
+        let commit = self.commit;
+        let targets: Vec<(Member, u64)> = lead
+            .progress
+            .iter()
+            .map(|(member, progress)| (*member, progress.matched))
+            .collect();
+        for (member, matched) in targets {
+            let commit = commit.min(matched);
+            self.send(member, Body::Heartbeat { commit, round });
+        }
+        self.finish_reads();
+    }
+
+    /// Follows a new member list: forgets removed members, adds new ones.
+    pub(super) fn update_progress(&mut self, next: u64) {
+        let Role::Leader(lead) = &mut self.role else {
+            return;
+        };
+        let all = self.log.members().all();
+        lead.progress.retain(|member, _| all.contains(member));
+        for member in all {
+            if member != self.me && !lead.progress.contains_key(&member) {
+                lead.progress.insert(member, Progress::new(next));
+            }
+        }
+    }
+
+    pub(super) fn replicate_all(&mut self) {
+        let Role::Leader(lead) = &self.role else {
+            return;
+        };
+        for member in lead.progress.keys().copied().collect::<Vec<_>>() {
+            self.replicate(member);
+        }
+    }
+
+    /// Sends what the replica lacks, as far as the flow control allows.
+    pub(super) fn replicate(&mut self, to: Member) {
+        while let Some(body) = self.next_append(to) {
+            self.send(to, body);
+        }
+    }
+
+    fn next_append(&mut self, to: Member) -> Option<Body> {
+        let now = self.now;
+        let last = self.log.last_index();
+        let resend = self.settings.resend();
+        let Role::Leader(lead) = &mut self.role else {
+            return None;
+        };
+        let round = lead.round;
+        let progress = lead.progress.get_mut(&to)?;
+        match &mut progress.mode {
+            Mode::Probe { sent: Some(sent) } if now < *sent + resend => return None,
+            Mode::Probe { .. } => {}
+            Mode::Stream(flights) => {
+                if flights.oldest().is_some_and(|sent| now >= sent + resend) {
+                    progress.probe(progress.matched + 1);
+                } else if progress.next > last || flights.bytes() >= self.settings.inflight_bytes {
+                    return None;
+                }
+            }
+            Mode::Snapshot { .. } => return self.resend_chunk(to),
+        }
+        let prev_index = progress.next - 1;
+        let Some(prev_term) = self.log.term(prev_index) else {
+            return self.start_snapshot(to);
+        };
+        let entries = self
+            .log
+            .batch(progress.next, self.settings.batch_bytes)
+            .to_vec();
+        match &mut progress.mode {
+            Mode::Probe { sent } => *sent = Some(now),
+            Mode::Stream(flights) => {
+                let bytes = entries.iter().map(Entry::size).sum();
+                progress.next += entries.len() as u64;
+                flights.push(progress.next - 1, bytes, now);
+            }
+            Mode::Snapshot { .. } => {}
+        }
+        Some(Body::Append {
+            prev_index,
+            prev_term,
+            entries,
+            commit: self.commit,
+            round,
+        })
+    }
+
+    pub(super) fn on_reply(&mut self, from: Member, body: Body) {
+        let Role::Leader(lead) = &mut self.role else {
+            return;
+        };
+        let round = match body {
+            Body::AppendReply { round, .. }
+            | Body::AppendReject { round, .. }
+            | Body::HeartbeatReply { round }
+            | Body::ChunkReply { round, .. } => round,
+            _ => return,
+        };
+        lead.answered(from, round);
+        match body {
+            Body::AppendReply { matched, .. } => self.on_matched(from, matched),
+            Body::AppendReject {
+                rejected,
+                hint_index,
+                hint_term,
+                ..
+            } => {
+                self.on_reject(from, rejected, hint_index, hint_term);
+            }
+            Body::ChunkReply { index, offset, .. } => self.on_chunk_reply(from, index, offset),
+            _ => {}
+        }
+        self.replicate(from);
+        self.finish_reads();
+    }
+
+    fn on_matched(&mut self, from: Member, matched: u64) {
+        let last = self.log.last_index();
+        let Role::Leader(lead) = &mut self.role else {
+            return;
+        };
+        let Some(progress) = lead.progress.get_mut(&from) else {
+            return;
+        };
+        if matched <= last && progress.advance(matched) {
+            self.advance_commit();
+            self.continue_handover(from);
+        }
+    }
+
+    /// Goes back to the last entry that may agree.
+    fn on_reject(&mut self, from: Member, rejected: u64, hint_index: u64, hint_term: u64) {
+        let (agreed, _) = self.log.last_not_after(hint_index, hint_term);
+        let Role::Leader(lead) = &mut self.role else {
+            return;
+        };
+        let Some(progress) = lead.progress.get_mut(&from) else {
+            return;
+        };
+        let stale = match &progress.mode {
+            Mode::Probe { .. } => rejected + 1 != progress.next,
+            Mode::Stream(_) => rejected <= progress.matched,
+            Mode::Snapshot { .. } => true,
+        };
+        if !stale {
+            let next = agreed.min(rejected.saturating_sub(1)) + 1;
+            progress.probe(next);
+        }
+    }
+}
