Add the instance: proposals, reads, configuration leases and reports

Cause: every instance must reach the leader of each group and know whether its configuration is current. Change: control::instance with follow, join, promote, report and gossip loops.

--- a/crates/control/src/group/driver.rs
+++ b/crates/control/src/group/driver.rs
@@ -159,7 +159,7 @@
             }
             Input::Resign => {
                 let now = self.clock.now();
-                let effects = self.node.transfer_leadership(now);
+                let effects = self.node.transfer_leadership(None, now);
                 let mut synced = VecDeque::new();
                 if let Err(error) = self.perform(effects, &mut synced) {
                     log::error!("event=resign_failed group={} error=\"{error}\"", self.name);
--- /dev/null
+++ b/crates/control/src/instance/instance.rs
@@ -0,0 +1,190 @@
+use {
+    super::{Error, Setup, handler::Server},
+    crate::{
+        follow::{Follower, Ledger},
+        group::{self, Group},
+        jobs::{self, Controller},
+        peers::Peers,
+        worker::Registry,
+    },
+    indexmap::IndexMap,
+    model::{config::Config, worker::Announcement},
+    std::{
+        sync::{
+            Arc, Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicBool, Ordering},
+        },
+        time::Duration,
+    },
+};
+
+/// A running instance.
+pub struct Instance {
+    pub(super) setup: Setup,
+    pub(super) peers: Peers,
+    pub(super) groups: IndexMap<String, Group>,
+    pub(super) controllers: IndexMap<String, Controller>,
+    pub(super) registries: IndexMap<String, Arc<Registry>>,
+    pub(super) follower: Arc<Follower>,
+    ledger: Mutex<Ledger>,
+    hints: Mutex<IndexMap<String, u64>>,
+    /// Announcements to be reported, by group and worker.
+    relay: Mutex<IndexMap<(String, String), Announcement>>,
+    stopped: AtomicBool,
+    _folder: Option<disk::Folder>,
+}
+
+fn lock<T>(part: &Mutex<T>) -> MutexGuard<'_, T> {
+    part.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Instance {
+    /// Opens the disk, starts the replicas and controllers, and joins the other instances.
+    ///
+    /// Must be called on a tokio runtime.
+    pub fn spawn(setup: Setup) -> Result<Arc<Instance>, Error> {
+        let own = setup
+            .instances
+            .get(&setup.id)
+            .ok_or_else(|| Error::NotRun(format!("instance {} is not listed", setup.id)))?;
+        let others = setup.instances.iter().filter(|(id, _)| **id != setup.id);
+        let addresses: Vec<_> = others.map(|(id, place)| (*id, place.peers)).collect();
+        let peers = Peers::bind(setup.id, own.peers, addresses, setup.call_timeout)?;
+        let folder = setup.folder.as_ref().map(disk::Folder::open).transpose()?;
+        let mut groups = IndexMap::new();
+        for (name, members) in &setup.groups {
+            let Some(folder) = folder.as_ref().filter(|_| members.contains(&setup.id)) else {
+                continue;
+            };
+            let group = group::Setup {
+                name: name.clone(),
+                id: setup.id,
+                found: setup.bootstrap && members.first() == Some(&setup.id),
+                settings: setup.quorum.clone(),
+                clock: setup.clock.clone(),
+                peers: peers.clone(),
+            };
+            groups.insert(name.clone(), Group::spawn(folder, group)?);
+        }
+        let follower = Arc::new(Follower::default());
+        let mut controllers = IndexMap::new();
+        let mut registries = IndexMap::new();
+        for (name, group) in &groups {
+            let homes = setup.homes.iter().filter(|(_, home)| *home == name);
+            let regions: Vec<String> = homes.map(|(region, _)| region.clone()).collect();
+            if regions.is_empty() {
+                continue;
+            }
+            let registry = Arc::new(Registry::default());
+            registries.insert(name.clone(), registry.clone());
+            let context = jobs::Context {
+                group: group.clone(),
+                follower: follower.clone(),
+                registry,
+                link: setup.link.clone(),
+                clock: setup.clock.clone(),
+                settings: jobs::Settings {
+                    regions,
+                    ..setup.jobs.clone()
+                },
+            };
+            controllers.insert(name.clone(), Controller::spawn(context));
+        }
+        let instance = Arc::new(Instance {
+            setup,
+            peers,
+            groups,
+            controllers,
+            registries,
+            follower,
+            ledger: Mutex::default(),
+            hints: Mutex::default(),
+            relay: Mutex::default(),
+            stopped: AtomicBool::new(false),
+            _folder: folder,
+        });
+        instance.peers.serve(Arc::new(Server(instance.clone())));
+        super::loops::spawn(&instance);
+        Ok(instance)
+    }
+
+    /// What the instance was started with.
+    pub fn setup(&self) -> &Setup {
+        &self.setup
+    }
+
+    /// The configuration if it is known to be current; without it nothing may be admitted.
+    pub fn current(&self) -> Option<Arc<Config>> {
+        self.follower.current(self.setup.clock.now())
+    }
+
+    /// Number of the applied configuration.
+    pub fn number(&self) -> u64 {
+        self.follower.number()
+    }
+
+    /// Time until the lease on the configuration ends.
+    pub fn lease(&self) -> Duration {
+        self.follower.lease(self.setup.clock.now())
+    }
+
+    /// The replicas of this instance.
+    pub fn groups(&self) -> impl Iterator<Item = &Group> {
+        self.groups.values()
+    }
+
+    /// Group that keeps the jobs and claims of a region.
+    pub fn home(&self, region: &str) -> Option<&str> {
+        self.setup.homes.get(region).map(String::as_str)
+    }
+
+    /// Takes the announcement of a worker and passes it on to the leader of its region's group.
+    pub fn hear_worker(&self, announcement: Announcement) -> Result<(), Error> {
+        let region = &announcement.worker.site.region;
+        let group = self
+            .home(region)
+            .ok_or_else(|| Error::NotRun(format!("the settings name no home for region {region}")))?
+            .to_owned();
+        let name = announcement.worker.name.clone();
+        lock(&self.relay).insert((group, name), announcement);
+        Ok(())
+    }
+
+    pub(super) fn take_relay(&self, group: &str) -> Vec<Announcement> {
+        let mut relay = lock(&self.relay);
+        let taken = relay.extract_if(.., |(home, _), _| home == group);
+        taken.map(|(_, announcement)| announcement).collect()
+    }
+
+    pub(super) fn ledger(&self) -> MutexGuard<'_, Ledger> {
+        lock(&self.ledger)
+    }
+
+    pub(super) fn hints(&self) -> MutexGuard<'_, IndexMap<String, u64>> {
+        lock(&self.hints)
+    }
+
+    pub(super) fn is_stopped(&self) -> bool {
+        self.stopped.load(Ordering::Relaxed)
+    }
+
+    /// Hands over leadership and ends all loops and replicas.
+    pub async fn shutdown(&self) {
+        for group in self.groups.values() {
+            group.resign();
+        }
+        tokio::time::sleep(self.setup.quorum.heartbeat * 2).await;
+        self.stop();
+    }
+
+    /// Ends all loops and replicas at once.
+    pub fn stop(&self) {
+        self.stopped.store(true, Ordering::Relaxed);
+        for controller in self.controllers.values() {
+            controller.stop();
+        }
+        for group in self.groups.values() {
+            group.stop();
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/instance/loops.rs
@@ -0,0 +1,152 @@
+use {
+    super::{Instance, Query, Report, handler::CONFIG},
+    indexmap::IndexSet,
+    quorum::Change,
+    std::{sync::Arc, time::Duration},
+    tokio::time,
+    wire::Update,
+};
+
+/// Interval of the questions for newer configuration; each renews the lease.
+const FOLLOW_EVERY: Duration = Duration::from_millis(1000);
+
+/// Pause before another instance is asked when the one asked does not lead.
+const FOLLOW_RETRY: Duration = Duration::from_millis(100);
+
+/// Interval of reports to the leaders of the region groups.
+const REPORT_EVERY: Duration = Duration::from_millis(250);
+
+/// Interval of gossip with each other instance.
+const GOSSIP_EVERY: Duration = Duration::from_millis(500);
+
+/// Interval at which the members of the groups are compared with the settings.
+const MEMBERS_EVERY: Duration = Duration::from_millis(500);
+
+/// Starts the loops of an instance; they end when it is stopped.
+pub(super) fn spawn(instance: &Arc<Instance>) {
+    tokio::spawn(follow(instance.clone()));
+    tokio::spawn(join(instance.clone()));
+    tokio::spawn(promote(instance.clone()));
+    let groups: IndexSet<String> = instance.setup.homes.values().cloned().collect();
+    for group in groups {
+        tokio::spawn(report(instance.clone(), group));
+    }
+    for id in instance.setup.instances.keys() {
+        if *id != instance.setup.id {
+            tokio::spawn(gossip(instance.clone(), *id));
+        }
+    }
+}
+
+/// Keeps the configuration and the lease on it current.
+async fn follow(instance: Arc<Instance>) {
+    let Some(members) = instance.setup.groups.get(CONFIG).cloned() else {
+        return;
+    };
+    let mut index = 0;
+    while !instance.is_stopped() {
+        let target = instance.hint(CONFIG).unwrap_or_else(|| {
+            index += 1;
+            members[index % members.len()]
+        });
+        let sent = instance.setup.clock.now();
+        let applied = instance.follower.number();
+        let own = (instance.setup.id, instance.setup.incarnation);
+        let update = if target == instance.setup.id {
+            Ok(instance.lead_follower(own, applied).await)
+        } else {
+            instance.peers.follow(target, own.1, applied).await
+        };
+        match update {
+            Ok(Update::Current { lease, config }) => {
+                instance.remember(CONFIG, target);
+                let config = config.and_then(|bytes| serde_json::from_slice(&bytes).ok());
+                let fresh = config.is_some();
+                instance.follower.update(config, sent, lease);
+                // A changed number is reported at once, so that the note is soon known to be in force.
+                if !(fresh && instance.follower.number() != applied) {
+                    time::sleep(FOLLOW_EVERY).await;
+                }
+            }
+            Ok(Update::NotLeader(leader)) => {
+                match leader.filter(|id| *id != target) {
+                    Some(leader) => instance.remember(CONFIG, leader),
+                    None => drop(instance.hints().shift_remove(CONFIG)),
+                }
+                time::sleep(FOLLOW_RETRY).await;
+            }
+            Err(_) => {
+                instance.hints().shift_remove(CONFIG);
+                time::sleep(FOLLOW_RETRY).await;
+            }
+        }
+    }
+}
+
+/// Asks to join each group of this instance whose member list does not have its disk.
+async fn join(instance: Arc<Instance>) {
+    while !instance.is_stopped() {
+        for group in instance.groups.values() {
+            let member = group.member();
+            if group.view().members.is_voter(member) {
+                continue;
+            }
+            let query = Query::Join {
+                id: member.id,
+                incarnation: member.incarnation,
+            };
+            drop(instance.query::<()>(group.name(), &query).await);
+        }
+        time::sleep(MEMBERS_EVERY).await;
+    }
+}
+
+/// As a leader, makes learners voters; the consensus core refuses until they have caught up.
+async fn promote(instance: Arc<Instance>) {
+    while !instance.is_stopped() {
+        for group in instance.groups.values() {
+            let view = group.view();
+            if view.leading_since.is_none() || view.members.is_joint() {
+                continue;
+            }
+            if let Some(learner) = view.members.learners.first() {
+                group.change(Change::Promote(*learner));
+            }
+        }
+        time::sleep(MEMBERS_EVERY).await;
+    }
+}
+
+/// Reports the workers heard of and the demand of the request path to one group's leader.
+async fn report(instance: Arc<Instance>, group: String) {
+    while !instance.is_stopped() {
+        time::sleep(REPORT_EVERY).await;
+        let sent = instance.setup.clock.now();
+        let report = Report {
+            workers: instance.take_relay(&group),
+            demand: instance.setup.exchange.demand(&group, sent),
+        };
+        if report.workers.is_empty() && report.demand.is_empty() {
+            continue;
+        }
+        let Ok(bytes) = serde_json::to_vec(&report) else {
+            continue;
+        };
+        match instance.report(&group, &bytes).await {
+            Ok(grants) => instance.setup.exchange.granted(&group, &grants, sent),
+            Err(error) => log::warn!("event=report_failed group={group} error=\"{error}\""),
+        }
+    }
+}
+
+async fn gossip(instance: Arc<Instance>, to: u64) {
+    while !instance.is_stopped() {
+        time::sleep(GOSSIP_EVERY).await;
+        let now = instance.setup.clock.now();
+        let entries = instance.setup.exchange.gossip(to, now);
+        if let Ok(answer) = instance.peers.gossip(to, entries).await {
+            let now = instance.setup.clock.now();
+            instance.setup.exchange.merge(to, &answer, now);
+        }
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod follow;
 pub mod group;
+pub mod instance;
 pub mod jobs;
 pub mod peers;
 pub mod state;
--- a/crates/control/src/state/jobs.rs
+++ b/crates/control/src/state/jobs.rs
@@ -65,6 +65,12 @@
         self.jobs.get(&id)
     }
 
+    /// The job that was accepted under a key.
+    pub fn find(&self, account: &str, key: &str) -> Option<&Job> {
+        let id = self.keys.get(&(account.to_owned(), key.to_owned()))?;
+        self.jobs.get(id)
+    }
+
     /// Returns and forgets the ids of the jobs changed since the last call.
     pub fn take_changed(&mut self) -> Vec<u64> {
         std::mem::take(&mut self.changed)
