--- /dev/null
+++ b/crates/settings/src/settings/mod.rs
@@ -0,0 +1,16 @@
+//! The settings as values.
+
+mod data;
+mod instance;
+mod level;
+mod listen;
+mod logs;
+mod member;
+mod requests;
+mod settings;
+mod timing;
+
+pub use {
+    data::Data, instance::Instance, level::Level, listen::Listen, logs::Logs, member::Member,
+    requests::Requests, settings::Settings, timing::Timing,
+};
