Add the HTTP API, worker orders, logs and stand-in workers

Cause: operators, callers and workers need an interface. Change: daemon::api on dropshot, daemon::link, daemon::logs, fake::worker. Measured: builds; not run yet.

--- a/crates/control/src/follow/ledger.rs
+++ b/crates/control/src/follow/ledger.rs
@@ -49,6 +49,12 @@
         self.live(instance, now).map(|entry| entry.applied).min()
     }
 
+    /// Tells whether a process holds a lease.
+    pub fn is_live(&self, follower: (u64, u64), now: Instant) -> bool {
+        let entry = self.entries.get(&follower);
+        entry.is_some_and(|entry| now < entry.lease_end)
+    }
+
     /// Instances that may still use a configuration older than `number`.
     pub fn missing(
         &self,
--- a/crates/control/src/instance/handler.rs
+++ b/crates/control/src/instance/handler.rs
@@ -47,9 +47,10 @@
     }
 
     fn gossip(&self, instance: u64, entries: &[u8]) -> Vec<u8> {
-        let now = self.0.setup.clock.now();
-        self.0.setup.exchange.merge(instance, entries, now);
-        self.0.setup.exchange.gossip(instance, now)
+        if self.0.setup.instances.contains_key(&instance) {
+            self.0.setup.exchange.merge(entries);
+        }
+        Vec::new()
     }
 }
 
@@ -92,6 +93,13 @@
             Query::Outcome { key } => encode(&state.book().outcome(&key)),
             Query::Force { number } => encode(&self.force(group, number)),
             Query::Followers => encode(&self.followers()),
+            Query::Alive {
+                instance,
+                incarnation,
+            } => {
+                let now = self.setup.clock.now();
+                encode(&self.ledger().is_live((instance, incarnation), now))
+            }
             Query::Drains => encode(&state.drains().instances),
             Query::Jobs {
                 account,
@@ -219,9 +227,12 @@
         let Some(since) = view.leading_since else {
             return Verdict::NotLeader(view.leader.filter(|id| *id != self.setup.id));
         };
-        let report: Report = match serde_json::from_slice(report) {
+        let report: Report = match postcard::from_bytes(report) {
             Ok(report) => report,
-            Err(error) => return Verdict::NotRun(format!("malformed report: {error}")),
+            Err(error) => {
+                let reason = format!("malformed report of instance {from}: {error}");
+                return Verdict::NotRun(reason);
+            }
         };
         let now = self.setup.clock.now();
         if let Some(registry) = self.registries.get(group) {
@@ -230,7 +241,7 @@
             }
         }
         let exchange = &self.setup.exchange;
-        Verdict::Answer(exchange.grant(group, from, &report.demand, since, now))
+        Verdict::Answer(exchange.grant(group, &report.demand, view.term, since))
     }
 }
 
--- a/crates/control/src/instance/loops.rs
+++ b/crates/control/src/instance/loops.rs
@@ -31,11 +31,7 @@
     for group in groups {
         tokio::spawn(report(instance.clone(), group));
     }
-    for id in instance.setup.instances.keys() {
-        if *id != instance.setup.id {
-            tokio::spawn(gossip(instance.clone(), *id));
-        }
-    }
+    tokio::spawn(gossip(instance.clone()));
 }
 
 /// Keeps the configuration and the lease on it current.
@@ -121,32 +117,30 @@
 async fn report(instance: Arc<Instance>, group: String) {
     while !instance.is_stopped() {
         time::sleep(REPORT_EVERY).await;
-        let sent = instance.setup.clock.now();
         let report = Report {
             workers: instance.take_relay(&group),
-            demand: instance.setup.exchange.demand(&group, sent),
+            demand: instance.setup.exchange.demand(&group),
         };
         if report.workers.is_empty() && report.demand.is_empty() {
             continue;
         }
-        let Ok(bytes) = serde_json::to_vec(&report) else {
+        let Ok(bytes) = postcard::to_stdvec(&report) else {
             continue;
         };
         match instance.report(&group, &bytes).await {
-            Ok(grants) => instance.setup.exchange.granted(&group, &grants, sent),
+            Ok(grants) => instance.setup.exchange.granted(&grants),
             Err(error) => log::warn!("event=report_failed group={group} error=\"{error}\""),
         }
     }
 }
 
-async fn gossip(instance: Arc<Instance>, to: u64) {
+/// Sends membership messages to the other instances.
+async fn gossip(instance: Arc<Instance>) {
     while !instance.is_stopped() {
         time::sleep(GOSSIP_EVERY).await;
-        let now = instance.setup.clock.now();
-        let entries = instance.setup.exchange.gossip(to, now);
-        if let Ok(answer) = instance.peers.gossip(to, entries).await {
-            let now = instance.setup.clock.now();
-            instance.setup.exchange.merge(to, &answer, now);
+        for (to, message) in instance.setup.exchange.gossip() {
+            let peers = instance.peers.clone();
+            tokio::spawn(async move { drop(peers.gossip(to, message).await) });
         }
     }
 }
--- a/crates/control/src/instance/query.rs
+++ b/crates/control/src/instance/query.rs
@@ -26,6 +26,13 @@
     },
     /// Numbers applied by live instances; a list of id and number.
     Followers,
+    /// Whether a process holds a lease on the configuration; a boolean.
+    Alive {
+        /// Id of the instance.
+        instance: u64,
+        /// Incarnation of the process.
+        incarnation: u64,
+    },
     /// Names of drained instances.
     Drains,
     /// Jobs; a list of `job::Job`.
--- a/crates/control/src/jobs/lead.rs
+++ b/crates/control/src/jobs/lead.rs
@@ -10,7 +10,10 @@
     ::gang::{Decision, Event, Reason, Scheduler},
     futures::future,
     indexmap::{IndexMap, IndexSet},
-    model::job::{Job, State},
+    model::{
+        job::{Job, State},
+        worker::TaskState,
+    },
     std::{
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::{Duration, Instant},
@@ -176,8 +179,10 @@
         let worker = seen.announcement.worker.clone();
         self.silent.shift_remove(&worker.name);
         for task in &seen.announcement.tasks {
+            let ended = !matches!(task.state, TaskState::Reserved | TaskState::Running);
             if let Some(running) = self.gangs.get(&task.job)
                 && running.token == task.token
+                && ended
             {
                 running.wake.notify_one();
             }
--- a/crates/control/src/state/claims.rs
+++ b/crates/control/src/state/claims.rs
@@ -17,8 +17,8 @@
     Answered {
         /// HTTP status.
         status: u16,
-        /// Value of `content-type`.
-        content_type: String,
+        /// End-to-end headers.
+        headers: Vec<(String, Vec<u8>)>,
         /// The body.
         body: Option<Vec<u8>>,
     },
--- /dev/null
+++ b/crates/daemon/src/api/context.rs
@@ -0,0 +1,28 @@
+use {
+    super::Members,
+    control::instance::Instance,
+    prometheus::Registry,
+    std::sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+};
+
+/// What the endpoints work on.
+pub struct Context {
+    /// The instance.
+    pub instance: Arc<Instance>,
+    /// The upstreams heard of.
+    pub members: Arc<dyn Members>,
+    /// The metrics.
+    pub metrics: Registry,
+    /// Whether the instance is being shut down.
+    pub draining: AtomicBool,
+}
+
+impl Context {
+    /// Whether the balancer should send requests here.
+    pub fn is_ready(&self) -> bool {
+        !self.draining.load(Ordering::Relaxed) && self.instance.current().is_some()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/api/mod.rs
@@ -0,0 +1,22 @@
+//! The HTTP API for operators, callers of jobs, workers and upstreams.
+
+mod answer;
+mod context;
+mod error;
+mod instances;
+mod jobs;
+mod notes;
+mod server;
+mod status;
+mod upstreams;
+mod workers;
+
+pub use {
+    context::Context,
+    instances::InstanceView,
+    jobs::{CancelView, JobView, WhyView},
+    notes::{ForceView, NoteView},
+    server::Server,
+    status::{GroupView, StatusView},
+    upstreams::{Members, UpstreamView},
+};
--- /dev/null
+++ b/crates/daemon/src/daemon/mod.rs
@@ -0,0 +1,7 @@
+//! A running daemon.
+
+mod daemon;
+mod error;
+mod options;
+
+pub use {daemon::Daemon, error::Error, options::Options};
--- /dev/null
+++ b/crates/daemon/src/link/mod.rs
@@ -0,0 +1,5 @@
+//! Orders to workers over HTTP.
+
+mod http;
+
+pub use http::Http;
--- /dev/null
+++ b/crates/daemon/src/logs/mod.rs
@@ -0,0 +1,5 @@
+//! Structured logs: one line of key=value pairs for each event.
+
+mod logs;
+
+pub use logs::open;
--- /dev/null
+++ b/crates/fake/src/client/mod.rs
@@ -0,0 +1,5 @@
+//! A JSON client for announcements.
+
+mod client;
+
+pub use client::Client;
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -1,1 +1,5 @@
-//! Placeholder.
+//! Small stand-ins for what the platform provides: workers and upstreams. They are used by tests, by the
+//! demo and by `trefoilvalve stand-in`; they are not part of the product.
+
+pub mod client;
+pub mod worker;
