Add the request path: router, listener and a stand-in upstream

Requests need membership, leased slot shares, fair queues, admission by predicted wait and claims before they reach an upstream. The crate route takes these decisions as pure code; entry runs them behind a hyper listener with one file per filter; fake::upstream is a loopback upstream that can misbehave.

--- /dev/null
+++ b/crates/entry/src/filter/mod.rs
@@ -0,0 +1,13 @@
+//! The filters that a request passes, in order: identify, place, claim, limit, queue, route, forward.
+
+mod chain;
+mod claim;
+mod forward;
+mod headers;
+mod identify;
+mod limit;
+mod place;
+mod queue;
+mod route;
+
+pub(crate) use chain::{Context, answer};
--- /dev/null
+++ b/crates/entry/src/pool/mod.rs
@@ -0,0 +1,7 @@
+//! Connections to upstreams: one request at a time each, bounded, reused only while beyond doubt.
+
+mod lease;
+mod pool;
+mod socket;
+
+pub(crate) use {lease::Lease, pool::Pool};
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder.
+//! Stand-ins for outside systems.
+
+pub mod upstream;
--- /dev/null
+++ b/crates/fake/src/upstream/mod.rs
@@ -0,0 +1,7 @@
+//! A stand-in HTTP upstream on loopback that can be told to misbehave.
+
+mod behaviour;
+mod exchange;
+mod upstream;
+
+pub use {behaviour::Behaviour, upstream::Upstream};
--- /dev/null
+++ b/crates/fake/src/upstream/upstream.rs
@@ -0,0 +1,198 @@
+use {
+    super::{Behaviour, exchange},
+    indexmap::IndexMap,
+    model::{place::Site, upstream::Announcement},
+    std::{
+        collections::VecDeque,
+        io,
+        net::SocketAddr,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::{Duration, SystemTime},
+    },
+    tokio::{
+        net::{TcpListener, TcpStream},
+        task::{JoinHandle, JoinSet},
+        time::sleep,
+    },
+};
+
+/// Most request heads that are kept for inspection.
+const HEADS_KEPT: usize = 64;
+
+#[derive(Default)]
+struct Inner {
+    behaviour: Behaviour,
+    next: VecDeque<Behaviour>,
+    executions: IndexMap<String, u64>,
+    total: u64,
+    busy: u16,
+    peak: u16,
+    connections: u64,
+    heads: VecDeque<String>,
+    sequence: u64,
+}
+
+/// A running stand-in; stops when dropped.
+///
+/// It runs a request when it has read all of it, and counts runs per `idempotency-key`.
+pub struct Upstream {
+    upstream: model::upstream::Upstream,
+    address: SocketAddr,
+    inner: Arc<Mutex<Inner>>,
+    task: JoinHandle<()>,
+}
+
+fn lock(inner: &Mutex<Inner>) -> MutexGuard<'_, Inner> {
+    inner.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Upstream {
+    /// Starts a stand-in on a free port of the loopback interface.
+    pub async fn spawn(name: &str, service: &str, site: Site, slots: u16) -> io::Result<Upstream> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let inner = Arc::new(Mutex::new(Inner::default()));
+        let wall = SystemTime::now()
+            .duration_since(SystemTime::UNIX_EPOCH)
+            .map_or(1, |elapsed| elapsed.as_millis() as u64);
+        lock(&inner).sequence = wall;
+        let task = tokio::spawn(accept(listener, inner.clone()));
+        let upstream = model::upstream::Upstream {
+            name: name.to_owned(),
+            service: service.to_owned(),
+            site,
+            address: address.to_string(),
+            slots,
+            connections: 64,
+        };
+        Ok(Upstream {
+            upstream,
+            address,
+            inner,
+            task,
+        })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// The next announcement, with its busy slots.
+    pub fn announcement(&self) -> Announcement {
+        let mut inner = lock(&self.inner);
+        inner.sequence += 1;
+        Announcement {
+            upstream: self.upstream.clone(),
+            sequence: inner.sequence,
+            departing: false,
+            busy: Some(inner.busy),
+        }
+    }
+
+    /// Sets what it does with requests from now on.
+    pub fn behave(&self, behaviour: Behaviour) {
+        lock(&self.inner).behaviour = behaviour;
+    }
+
+    /// Sets what it does with one request, after those set earlier.
+    pub fn behave_once(&self, behaviour: Behaviour) {
+        lock(&self.inner).next.push_back(behaviour);
+    }
+
+    /// How often the request with this key ran.
+    pub fn executions(&self, key: &str) -> u64 {
+        lock(&self.inner).executions.get(key).copied().unwrap_or(0)
+    }
+
+    /// Requests that ran.
+    pub fn total(&self) -> u64 {
+        lock(&self.inner).total
+    }
+
+    /// Requests in progress.
+    pub fn busy(&self) -> u16 {
+        lock(&self.inner).busy
+    }
+
+    /// The most requests that were in progress at once.
+    pub fn peak(&self) -> u16 {
+        lock(&self.inner).peak
+    }
+
+    /// Connections accepted so far.
+    pub fn connections(&self) -> u64 {
+        lock(&self.inner).connections
+    }
+
+    /// Heads of the last requests.
+    pub fn heads(&self) -> Vec<String> {
+        lock(&self.inner).heads.iter().cloned().collect()
+    }
+}
+
+impl Drop for Upstream {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn accept(listener: TcpListener, inner: Arc<Mutex<Inner>>) {
+    // Connections end with the task, when the set is dropped.
+    let mut connections = JoinSet::new();
+    loop {
+        while connections.try_join_next().is_some() {}
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                lock(&inner).connections += 1;
+                connections.spawn(serve(stream, inner.clone()));
+            }
+            Err(_) => sleep(Duration::from_millis(20)).await,
+        }
+    }
+}
+
+/// Counts a request as in progress until dropped.
+struct Busy(Arc<Mutex<Inner>>);
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        lock(&self.0).busy -= 1;
+    }
+}
+
+async fn serve(mut stream: TcpStream, inner: Arc<Mutex<Inner>>) {
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let mut buffer = Vec::new();
+    while let Ok(Some(received)) = exchange::read(&mut stream, &mut buffer).await {
+        let behaviour = {
+            let mut inner = lock(&inner);
+            inner.total += 1;
+            inner.busy += 1;
+            inner.peak = inner.peak.max(inner.busy);
+            if let Some(key) = received.header("idempotency-key") {
+                *inner.executions.entry(key.to_owned()).or_default() += 1;
+            }
+            inner.heads.push_back(received.head_text());
+            if inner.heads.len() > HEADS_KEPT {
+                inner.heads.pop_front();
+            }
+            let delay = received
+                .header("x-fake-delay-ms")
+                .and_then(|ms| ms.parse().ok())
+                .map(|ms| Behaviour::Answer(Duration::from_millis(ms)));
+            match inner.next.pop_front() {
+                Some(next) => next,
+                None => delay.unwrap_or_else(|| inner.behaviour.clone()),
+            }
+        };
+        let busy = Busy(inner.clone());
+        let open = exchange::answer(&mut stream, &received, &behaviour).await;
+        drop(busy);
+        if !matches!(open, Ok(true)) {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/route/src/claim/state.rs
@@ -0,0 +1,27 @@
+use serde::{Deserialize, Serialize};
+
+/// The first answer to a claimed request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// End-to-end headers.
+    pub headers: Vec<(String, Vec<u8>)>,
+    /// The body, if it was small enough to keep.
+    pub body: Option<Vec<u8>>,
+}
+
+/// Where a claim stands.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum State {
+    /// Committed; the instance may send at any moment.
+    Claimed,
+    /// Bytes were sent to an upstream.
+    Sent,
+    /// The whole answer arrived.
+    Answered(Answer),
+    /// Nothing was sent, and nothing will be under this claim.
+    Released,
+    /// It may have run; nobody will learn whether it did.
+    Unknown,
+}
--- /dev/null
+++ b/crates/route/src/limit/latency.rs
@@ -0,0 +1,71 @@
+use std::time::Duration;
+
+/// Buckets per doubling of the time.
+const STEPS: f64 = 4.0;
+
+/// Number of buckets: from 0.1 ms to about 15 minutes.
+const BUCKETS: usize = 96;
+
+/// Lower end of the first bucket, in seconds.
+const LEAST: f64 = 1e-4;
+
+/// Weight of all samples after which old ones are halved, so that the estimate follows changes.
+const WINDOW: f64 = 4096.0;
+
+/// Running distribution of service times in buckets of equal ratio.
+#[derive(Clone, Debug)]
+pub struct Latency {
+    buckets: [f64; BUCKETS],
+    count: f64,
+    sum: f64,
+}
+
+impl Latency {
+    /// Returns a distribution that expects `guess` until samples outweigh it.
+    pub fn new(guess: Duration) -> Latency {
+        let mut latency = Latency {
+            buckets: [0.0; BUCKETS],
+            count: 0.0,
+            sum: 0.0,
+        };
+        latency.add(guess);
+        latency
+    }
+
+    /// Adds a sample.
+    pub fn add(&mut self, sample: Duration) {
+        if self.count >= WINDOW {
+            self.buckets.iter_mut().for_each(|bucket| *bucket /= 2.0);
+            self.count /= 2.0;
+            self.sum /= 2.0;
+        }
+        let seconds = sample.as_secs_f64();
+        let step = ((seconds / LEAST).max(1.0).log2() * STEPS) as usize;
+        self.buckets[step.min(BUCKETS - 1)] += 1.0;
+        self.count += 1.0;
+        self.sum += seconds;
+    }
+
+    /// The mean.
+    pub fn mean(&self) -> Duration {
+        Duration::from_secs_f64(self.sum / self.count.max(1.0))
+    }
+
+    /// The upper end of the bucket that holds the given fraction.
+    pub fn quantile(&self, fraction: f64) -> Duration {
+        let rank = self.count * fraction;
+        let mut seen = 0.0;
+        for (step, weight) in self.buckets.iter().enumerate() {
+            seen += weight;
+            if seen >= rank && *weight > 0.0 {
+                return Duration::from_secs_f64(LEAST * ((step + 1) as f64 / STEPS).exp2());
+            }
+        }
+        self.mean()
+    }
+
+    /// Weight of the samples.
+    pub fn count(&self) -> f64 {
+        self.count
+    }
+}
--- /dev/null
+++ b/crates/route/src/limit/pace.rs
@@ -0,0 +1,87 @@
+use std::time::{Duration, Instant};
+
+/// Failures in a row after which an upstream is paused.
+const FAILURES_BEFORE_PAUSE: u32 = 3;
+
+/// First pause; each further one is twice as long.
+const FIRST_PAUSE: Duration = Duration::from_millis(500);
+
+/// Longest pause.
+const LONGEST_PAUSE: Duration = Duration::from_secs(8);
+
+/// An upstream is slow when its mean logarithm of service time exceeds that of its service by this much:
+/// a factor of 3.
+const SLOW: f64 = 1.1;
+
+/// Weight of one sample in the running mean.
+const GAIN: f64 = 0.05;
+
+/// Answers between two changes of the limit, so that each change shows in the measurement first.
+const SAMPLES_PER_CHANGE: u32 = 16;
+
+/// How many requests an upstream should run at once, by its failures and latency.
+#[derive(Clone, Debug)]
+pub struct Pace {
+    limit: u16,
+    failures: u32,
+    pauses: u32,
+    until: Option<Instant>,
+    log_mean: f64,
+    samples: u32,
+}
+
+impl Pace {
+    /// Returns a pace that allows `slots`.
+    pub fn new(slots: u16) -> Pace {
+        Pace {
+            limit: slots,
+            failures: 0,
+            pauses: 0,
+            until: None,
+            log_mean: 0.0,
+            samples: 0,
+        }
+    }
+
+    /// Requests allowed at once, at most `slots`.
+    pub fn limit(&self, slots: u16, now: Instant) -> u16 {
+        if self.until.is_some_and(|until| now < until) {
+            0
+        } else if self.pauses > 0 {
+            // After a pause one request probes.
+            1.min(slots)
+        } else {
+            self.limit.min(slots)
+        }
+    }
+
+    /// Takes the service time of an answer; `usual` is the mean logarithm over the service's upstreams.
+    pub fn answered(&mut self, service: Duration, usual: f64, slots: u16) {
+        self.failures = 0;
+        self.pauses = 0;
+        self.until = None;
+        let sample = service.as_secs_f64().max(1e-6).ln();
+        let gain = if self.samples == 0 { 1.0 } else { GAIN };
+        self.log_mean += gain * (sample - self.log_mean);
+        self.samples += 1;
+        if !self.samples.is_multiple_of(SAMPLES_PER_CHANGE) {
+            return;
+        }
+        if self.log_mean > usual + SLOW {
+            self.limit = (self.limit / 2).max(1);
+        } else if self.limit < slots {
+            self.limit += 1;
+        }
+    }
+
+    /// Takes a failure.
+    pub fn failed(&mut self, now: Instant) {
+        self.failures += 1;
+        if self.failures >= FAILURES_BEFORE_PAUSE || self.pauses > 0 {
+            let pause = FIRST_PAUSE * 2u32.pow(self.pauses.min(4));
+            self.until = Some(now + pause.min(LONGEST_PAUSE));
+            self.pauses += 1;
+            self.failures = 0;
+        }
+    }
+}
--- /dev/null
+++ b/crates/route/src/limit/predict.rs
@@ -0,0 +1,47 @@
+use std::time::Duration;
+
+/// What is known about the queue that a request would join.
+#[derive(Clone, Copy, Debug)]
+pub struct Forecast {
+    /// Requests that are served before it.
+    pub ahead: f64,
+    /// Slots that serve its class.
+    pub slots: f64,
+    /// Mean service time.
+    pub mean: Duration,
+    /// Service time that the request itself is expected to need.
+    pub own: Duration,
+}
+
+/// Whether a request is let in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It should meet its deadline.
+    Admit,
+    /// It would not; the queue is short enough again after this time.
+    Refuse(Duration),
+}
+
+/// Least and greatest time to wait before a resend.
+const RETRY_AFTER: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(60));
+
+impl Forecast {
+    /// The predicted wait.
+    pub fn wait(&self) -> Duration {
+        if self.ahead <= 0.0 {
+            return Duration::ZERO;
+        }
+        let seconds = self.ahead * self.mean.as_secs_f64() / self.slots.max(0.25);
+        Duration::from_secs_f64(seconds.min(3600.0))
+    }
+}
+
+/// Decides by the predicted wait whether the answer can arrive within `budget`.
+pub fn judge(forecast: Forecast, budget: Duration) -> Verdict {
+    let wait = forecast.wait();
+    if wait + forecast.own <= budget || (wait.is_zero() && !budget.is_zero()) {
+        return Verdict::Admit;
+    }
+    let drain = wait.saturating_sub(budget.saturating_sub(forecast.own));
+    Verdict::Refuse(drain.clamp(RETRY_AFTER.0, RETRY_AFTER.1))
+}
--- /dev/null
+++ b/crates/route/src/member/members.rs
@@ -0,0 +1,365 @@
+use {
+    super::{Delta, Echo, Peer, Record, Renewal, peer::Exchange},
+    indexmap::IndexMap,
+    model::upstream::{Announcement, Upstream},
+    std::time::{Duration, Instant},
+};
+
+/// An upstream gets no new work when its last announcement is older than this.
+pub const EXPIRY: Duration = Duration::from_secs(3);
+
+/// Times that changed content is sent to a peer, so that a departure survives two lost messages.
+const REPEATS: u8 = 3;
+
+/// Consecutive messages with another digest before all entries are asked for. Lower values pull on every
+/// change that is still under way.
+const MISMATCHES_BEFORE_PULL: u8 = 3;
+
+/// How an entry came to this instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Origin {
+    Direct,
+    Region,
+    Remote,
+}
+
+#[derive(Debug)]
+struct Entry {
+    announcement: Announcement,
+    heard: Instant,
+    origin: Origin,
+    content: u64,
+}
+
+/// The upstreams known to one instance.
+#[derive(Debug)]
+pub struct Members {
+    instance: u64,
+    region: String,
+    entries: IndexMap<String, Entry>,
+    exchanges: IndexMap<u64, Exchange>,
+    round: u64,
+}
+
+impl Members {
+    /// Returns an empty view for `instance`, which stands in `region`.
+    pub fn new(instance: u64, region: &str) -> Members {
+        Members {
+            instance,
+            region: region.to_owned(),
+            entries: IndexMap::new(),
+            exchanges: IndexMap::new(),
+            round: 0,
+        }
+    }
+
+    /// Replaces the list of other instances.
+    pub fn set_peers(&mut self, peers: &[Peer]) {
+        self.exchanges
+            .retain(|id, _| peers.iter().any(|peer| peer.id == *id));
+        for peer in peers.iter().filter(|peer| peer.id != self.instance) {
+            self.exchanges
+                .entry(peer.id)
+                .or_insert_with(|| Exchange::new(&peer.region));
+        }
+    }
+
+    /// Takes an announcement that an upstream sent to this instance.
+    pub fn announce(&mut self, announcement: &Announcement, now: Instant) {
+        self.merge(announcement.clone(), now, Origin::Direct, now);
+    }
+
+    /// Marks an upstream as departing. Returns false if it is not known.
+    ///
+    /// The mark holds until the upstream has been silent for [`EXPIRY`], so announcements that are still
+    /// under way do not bring it back.
+    pub fn depart(&mut self, name: &str, now: Instant) -> bool {
+        let Some(entry) = self.live_entry(name, now) else {
+            return false;
+        };
+        let mut announcement = entry.announcement.clone();
+        announcement.departing = true;
+        announcement.sequence += 1;
+        self.merge(announcement, now, Origin::Direct, now);
+        true
+    }
+
+    fn live_entry(&self, name: &str, now: Instant) -> Option<&Entry> {
+        self.entries
+            .get(name)
+            .filter(|entry| now.duration_since(entry.heard) < EXPIRY)
+    }
+
+    fn merge(&mut self, next: Announcement, heard: Instant, origin: Origin, now: Instant) {
+        if now.duration_since(heard) >= EXPIRY {
+            return;
+        }
+        let name = next.upstream.name.clone();
+        let Some(entry) = self.entries.get_mut(&name) else {
+            let content = content(&next);
+            let entry = Entry {
+                announcement: next,
+                heard,
+                origin,
+                content,
+            };
+            self.entries.insert(name, entry);
+            return;
+        };
+        if now.duration_since(entry.heard) >= EXPIRY {
+            let content = content(&next);
+            *entry = Entry {
+                announcement: next,
+                heard,
+                origin,
+                content,
+            };
+            return;
+        }
+        let departing = entry.announcement.departing || next.departing;
+        if next.sequence > entry.announcement.sequence {
+            entry.announcement = next;
+            entry.heard = entry.heard.max(heard);
+            entry.origin = origin;
+        } else if departing && !entry.announcement.departing {
+            entry.origin = origin;
+        }
+        entry.announcement.departing = departing;
+        entry.content = content(&entry.announcement);
+    }
+
+    /// Removes expired entries.
+    pub fn expire(&mut self, now: Instant) {
+        self.entries
+            .retain(|_, entry| now.duration_since(entry.heard) < EXPIRY);
+    }
+
+    /// Iterates over the upstreams that may get new work.
+    pub fn usable(&self, now: Instant) -> impl Iterator<Item = &Upstream> {
+        self.all(now)
+            .filter(|(announcement, _)| !announcement.departing)
+            .map(|(announcement, _)| &announcement.upstream)
+    }
+
+    /// Iterates over all live entries with the age of their last announcement.
+    pub fn all(&self, now: Instant) -> impl Iterator<Item = (&Announcement, Duration)> {
+        self.entries.values().filter_map(move |entry| {
+            let age = now.duration_since(entry.heard);
+            (age < EXPIRY).then_some((&entry.announcement, age))
+        })
+    }
+
+    /// Tells whether the named upstream may get new work.
+    pub fn is_usable(&self, name: &str, now: Instant) -> bool {
+        self.live_entry(name, now)
+            .is_some_and(|entry| !entry.announcement.departing)
+    }
+
+    /// Digest over the content of all live entries.
+    pub fn digest(&self, now: Instant) -> u64 {
+        self.entries
+            .values()
+            .filter(|entry| now.duration_since(entry.heard) < EXPIRY)
+            .fold(0, |sum, entry| sum ^ entry.content)
+    }
+
+    /// Returns the messages due now; called each 500 ms.
+    pub fn messages(&mut self, now: Instant) -> Vec<(u64, Delta)> {
+        self.expire(now);
+        self.round += 1;
+        let digest = self.digest(now);
+        let targets = self.targets(now);
+        let mut messages = Vec::with_capacity(targets.len());
+        for id in targets {
+            let Some(exchange) = self.exchanges.get_mut(&id) else {
+                continue;
+            };
+            let remote = exchange.region != self.region;
+            let all = std::mem::take(&mut exchange.asked_pull);
+            let mut records = Vec::new();
+            let mut renewals = Vec::new();
+            for (name, entry) in &self.entries {
+                let forward = if remote {
+                    entry.origin != Origin::Remote
+                } else {
+                    entry.origin != Origin::Region
+                };
+                if !all && !forward {
+                    continue;
+                }
+                let announcement = &entry.announcement;
+                let age_ms = now.duration_since(entry.heard).as_millis() as u64;
+                let shown = exchange.shown.get(name).copied();
+                let repeats = match shown {
+                    Some((content, _, left)) if content == entry.content => left,
+                    _ => REPEATS,
+                };
+                if all || repeats > 0 {
+                    records.push(Record {
+                        announcement: announcement.clone(),
+                        age_ms,
+                    });
+                } else if shown.is_none_or(|(_, sequence, _)| sequence < announcement.sequence) {
+                    renewals.push(Renewal {
+                        name: name.clone(),
+                        sequence: announcement.sequence,
+                        age_ms,
+                        busy: announcement.busy,
+                    });
+                } else {
+                    continue;
+                }
+                exchange.shown.insert(
+                    name.clone(),
+                    (
+                        entry.content,
+                        announcement.sequence,
+                        repeats.saturating_sub(1),
+                    ),
+                );
+            }
+            exchange
+                .shown
+                .retain(|name, _| self.entries.contains_key(name));
+            let echo = exchange.received.map(|(number, at)| Echo {
+                number,
+                held_ms: now.duration_since(at).as_millis() as u64,
+            });
+            let number = exchange.stamp(now);
+            let pull = std::mem::take(&mut exchange.wants_pull);
+            messages.push((
+                id,
+                Delta {
+                    from: self.instance,
+                    number,
+                    echo,
+                    records,
+                    renewals,
+                    digest,
+                    pull,
+                },
+            ));
+        }
+        messages
+    }
+
+    /// Own region: every peer. Other regions, each second round: the peers heard of, and from the instance
+    /// with the lowest live id, one further peer in turn while none is heard of.
+    fn targets(&self, now: Instant) -> Vec<u64> {
+        let relay = self
+            .exchanges
+            .iter()
+            .filter(|(_, exchange)| exchange.region == self.region && exchange.live(now, EXPIRY))
+            .all(|(id, _)| *id > self.instance);
+        let mut targets: Vec<u64> = self
+            .exchanges
+            .iter()
+            .filter(|(_, exchange)| exchange.region == self.region)
+            .map(|(id, _)| *id)
+            .collect();
+        if self.round % 2 == 1 {
+            return targets;
+        }
+        let mut regions: IndexMap<&str, Vec<(u64, bool)>> = IndexMap::new();
+        for (id, exchange) in &self.exchanges {
+            if exchange.region != self.region {
+                regions
+                    .entry(&exchange.region)
+                    .or_default()
+                    .push((*id, exchange.live(now, EXPIRY)));
+            }
+        }
+        for mut peers in regions.into_values() {
+            peers.sort_unstable();
+            let heard: Vec<u64> = peers
+                .iter()
+                .filter(|(_, live)| *live)
+                .map(|(id, _)| *id)
+                .collect();
+            if !heard.is_empty() {
+                targets.extend(heard);
+            } else if relay {
+                let turn = (self.round / 2) as usize % peers.len();
+                targets.push(peers[turn].0);
+            }
+        }
+        targets
+    }
+
+    /// Takes a message from a peer.
+    ///
+    /// Entries count only if the echo bounds the time under way; otherwise a message that was delayed in a
+    /// silent connection would keep a dead upstream alive.
+    pub fn receive(&mut self, delta: Delta, now: Instant) {
+        let digest = self.digest(now);
+        let Some(exchange) = self.exchanges.get_mut(&delta.from) else {
+            return;
+        };
+        let transit = delta.echo.and_then(|echo| exchange.transit(echo, now));
+        // A lower number after a restart of the peer is accepted once the old numbers are out of use.
+        if exchange
+            .received
+            .is_none_or(|(number, at)| number < delta.number || now.duration_since(at) >= EXPIRY)
+        {
+            exchange.received = Some((delta.number, now));
+        }
+        exchange.asked_pull |= delta.pull;
+        let origin = if exchange.region == self.region {
+            Origin::Region
+        } else {
+            Origin::Remote
+        };
+        let Some(transit) = transit else {
+            exchange.wants_pull = true;
+            return;
+        };
+        let same = delta.digest == digest;
+        exchange.mismatches = if same { 0 } else { exchange.mismatches + 1 };
+        if exchange.mismatches >= MISMATCHES_BEFORE_PULL {
+            exchange.mismatches = 0;
+            exchange.wants_pull = true;
+        }
+        let heard = |age_ms: u64| now.checked_sub(transit + Duration::from_millis(age_ms));
+        for record in delta.records {
+            if let Some(at) = heard(record.age_ms) {
+                self.merge(record.announcement, at, origin, now);
+            }
+        }
+        for renewal in delta.renewals {
+            let Some(at) = heard(renewal.age_ms) else {
+                continue;
+            };
+            if let Some(entry) = self.live_entry(&renewal.name, now) {
+                let mut announcement = entry.announcement.clone();
+                announcement.sequence = renewal.sequence;
+                announcement.busy = renewal.busy;
+                self.merge(announcement, at, origin, now);
+            } else if let Some(exchange) = self.exchanges.get_mut(&delta.from) {
+                exchange.wants_pull = true;
+            }
+        }
+    }
+}
+
+/// FNV-1a over the fields that peers must agree on; stable between builds, unlike the standard hasher.
+fn content(announcement: &Announcement) -> u64 {
+    let upstream = &announcement.upstream;
+    let numbers = [
+        upstream.slots.to_le_bytes(),
+        upstream.connections.to_le_bytes(),
+        u16::from(announcement.departing).to_le_bytes(),
+    ];
+    [
+        upstream.name.as_bytes(),
+        upstream.service.as_bytes(),
+        upstream.site.region.as_bytes(),
+        upstream.site.data_centre.as_bytes(),
+        upstream.address.as_bytes(),
+    ]
+    .into_iter()
+    .chain(numbers.iter().map(|pair| pair.as_slice()))
+    .flat_map(|field| field.iter().copied().chain([0xff]))
+    .fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
+    })
+}
--- /dev/null
+++ b/crates/route/src/member/mod.rs
@@ -0,0 +1,11 @@
+//! Which upstreams exist: announcements, gossip between instances, expiry and departure.
+
+mod delta;
+mod members;
+mod peer;
+
+pub use {
+    delta::{Delta, Echo, Record, Renewal},
+    members::{EXPIRY, Members},
+    peer::Peer,
+};
--- /dev/null
+++ b/crates/route/src/retry/rule.rs
@@ -0,0 +1,36 @@
+use {
+    crate::faults::{Fault, planted},
+    std::time::{Duration, Instant},
+};
+
+/// How far an attempt came.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Progress {
+    /// No byte was sent to the upstream.
+    Unsent,
+    /// Some bytes were, or may have been, sent.
+    Sent,
+    /// Part of the answer was passed to the caller.
+    Answering,
+}
+
+/// Decides whether a failed request may be sent to another upstream.
+pub fn may_resend(progress: Progress, idempotent: bool, deadline: Instant, now: Instant) -> bool {
+    let safe = match progress {
+        Progress::Unsent => true,
+        Progress::Sent => idempotent || planted(Fault::RetryAfterSend),
+        Progress::Answering => false,
+    };
+    safe && now < deadline
+}
+
+/// Decides whether a request that runs for `elapsed` may be sent to a second upstream as well.
+pub fn may_hedge(
+    idempotent: bool,
+    elapsed: Duration,
+    usual: Duration,
+    deadline: Instant,
+    now: Instant,
+) -> bool {
+    idempotent && elapsed > usual && now + usual / 4 < deadline
+}
--- /dev/null
+++ b/crates/route/src/router/seat.rs
@@ -0,0 +1,26 @@
+use {crate::limit::Pace, model::place::Site};
+
+/// An upstream as this instance uses it.
+#[derive(Debug)]
+pub(super) struct Seat {
+    pub(super) service: String,
+    pub(super) site: Site,
+    pub(super) address: String,
+    pub(super) usable: bool,
+    /// Requests that may run at once: the share, lowered by the pace.
+    pub(super) limit: u16,
+    pub(super) share: u16,
+    pub(super) busy: u16,
+    pub(super) batch: u16,
+    pub(super) pace: Pace,
+}
+
+impl Seat {
+    pub(super) fn free(&self) -> u16 {
+        if self.usable {
+            self.limit.saturating_sub(self.busy)
+        } else {
+            0
+        }
+    }
+}
--- /dev/null
+++ b/crates/route/src/share/holder.rs
@@ -0,0 +1,130 @@
+use {
+    super::{Grant, Report, Row},
+    indexmap::IndexMap,
+    std::{
+        collections::VecDeque,
+        time::{Duration, Instant},
+    },
+};
+
+/// Reports whose sending time is kept; older ones are past any lease.
+const REPORTS_KEPT: usize = 64;
+
+/// The shares that one process holds in one region.
+#[derive(Debug)]
+pub struct Holder {
+    region: String,
+    instance: u64,
+    boot: u64,
+    started: Instant,
+    number: u64,
+    sent: VecDeque<(u64, Instant)>,
+    applied: (u64, u64),
+    until: Option<Instant>,
+    shares: IndexMap<String, u16>,
+}
+
+impl Holder {
+    /// Returns a holder without shares.
+    pub fn new(region: &str, instance: u64, boot: u64, now: Instant) -> Holder {
+        Holder {
+            region: region.to_owned(),
+            instance,
+            boot,
+            started: now,
+            number: 0,
+            sent: VecDeque::new(),
+            applied: (0, 0),
+            until: None,
+            shares: IndexMap::new(),
+        }
+    }
+
+    /// Slots of `upstream` that may run requests now.
+    pub fn limit(&self, upstream: &str, now: Instant) -> u16 {
+        if self.until.is_some_and(|until| now < until) {
+            self.shares.get(upstream).copied().unwrap_or(0)
+        } else {
+            0
+        }
+    }
+
+    /// When the shares end unless they are renewed.
+    pub fn until(&self) -> Option<Instant> {
+        self.until
+    }
+
+    /// Returns the report due now. `demand` lists per upstream the requests in flight and the wanted slots
+    /// in hundredths.
+    pub fn report(
+        &mut self,
+        demand: impl IntoIterator<Item = (String, u16, u32)>,
+        now: Instant,
+    ) -> Report {
+        self.number += 1;
+        self.sent.push_back((self.number, now));
+        if self.sent.len() > REPORTS_KEPT {
+            self.sent.pop_front();
+        }
+        let rows = demand
+            .into_iter()
+            .map(|(upstream, busy, want)| {
+                let held = self.limit(&upstream, now).max(busy);
+                Row {
+                    upstream,
+                    held,
+                    want,
+                }
+            })
+            .collect();
+        Report {
+            region: self.region.clone(),
+            instance: self.instance,
+            boot: self.boot,
+            number: self.number,
+            age_ms: now.duration_since(self.started).as_millis() as u64,
+            term: self.applied.0,
+            applied: self.applied.1,
+            rows,
+        }
+    }
+
+    /// Applies a grant. Returns false if it is not for this process, not newer, or already past its lease.
+    pub fn apply(&mut self, grant: &Grant, now: Instant) -> bool {
+        if grant.instance != self.instance
+            || grant.boot != self.boot
+            || grant.region != self.region
+            || (grant.term, grant.sequence) <= self.applied
+        {
+            return false;
+        }
+        let Some((_, sent)) = self.sent.iter().find(|(number, _)| *number == grant.report) else {
+            return false;
+        };
+        let until = *sent + Duration::from_millis(grant.lease_ms);
+        if now >= until {
+            return false;
+        }
+        self.applied = (grant.term, grant.sequence);
+        self.until = Some(until);
+        self.shares = grant
+            .shares
+            .iter()
+            .map(|share| (share.upstream.clone(), share.slots))
+            .collect();
+        true
+    }
+
+    /// Gives all shares back; the next report tells the granter.
+    pub fn release(&mut self) {
+        self.shares.clear();
+        self.until = None;
+    }
+
+    /// Iterates over the upstreams with a share.
+    pub fn shares(&self) -> impl Iterator<Item = (&str, u16)> {
+        self.shares
+            .iter()
+            .map(|(name, slots)| (name.as_str(), *slots))
+    }
+}
