--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -2,4 +2,5 @@
 //! demo and by `trefoilvalve stand-in`; they are not part of the product.
 
 pub mod client;
+pub mod upstream;
 pub mod worker;
