Wire the daemon

Cause: replicas, controllers, API and request path must run as one process. Measured: builds; not run yet.

--- a/crates/daemon/src/daemon/error.rs
+++ b/crates/daemon/src/daemon/error.rs
@@ -1,4 +1,7 @@
-use {control::instance, std::{fmt, io}};
+use {
+    control::instance,
+    std::{fmt, io},
+};
 
 /// Why the daemon cannot start.
 #[derive(Debug)]
--- /dev/null
+++ b/crates/daemon/src/requests/mod.rs
@@ -0,0 +1,9 @@
+//! Connects the request path to the instance: configuration, claims, messages, membership and records.
+
+mod claims;
+mod exchange;
+mod members;
+mod observer;
+mod slot;
+
+pub use {claims::Claims, exchange::Exchange, members::Members, observer::Observer, slot::Slot};
