--- a/crates/burn/src/lib.rs
+++ b/crates/burn/src/lib.rs
@@ -1,1 +1,1 @@
-//! Placeholder.
+//! Recording and reporting of service levels.
--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,3 @@
+//! Operators' and callers' command line.
+
+pub mod demo;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,2 +1,5 @@
-//! Placeholder.
-fn main() {}
+//! The binary `trefoilvalve`.
+
+fn main() -> std::process::ExitCode {
+    cli::demo::run()
+}
