Add the demo: a note, a job and requests through seven instances

Cause: the README's first command must show the whole path. Change: demo command with an in-process cluster, stand-in workers and upstreams, and checks after every step.

--- a/crates/cli/src/demo/mod.rs
+++ b/crates/cli/src/demo/mod.rs
@@ -1,9 +1,8 @@
-//! Demonstration of the scheduler in one process.
+//! Demonstration: a small whole system in one process on loopback.
 
-use std::process::ExitCode;
+mod cluster;
+mod error;
+mod platform;
+mod story;
 
-/// Runs the demonstration and returns the exit status of the command.
-pub fn run() -> ExitCode {
-    eprintln!("demo: not part of this build; nothing was run");
-    ExitCode::FAILURE
-}
+pub use {cluster::Cluster, error::Error, platform::Platform, story::run};
--- a/crates/fake/src/client/client.rs
+++ b/crates/fake/src/client/client.rs
@@ -14,6 +14,9 @@
 /// Largest accepted answer in bytes.
 const MAX_ANSWER_BYTES: usize = 1 << 20;
 
+/// Wait for a whole answer to a call.
+const CALL_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Wait for one answer.
 const TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -65,3 +68,63 @@
         false
     }
 }
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers.
+    pub headers: http::HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl Answer {
+    /// The body as JSON; null if it is none.
+    pub fn json(&self) -> serde_json::Value {
+        serde_json::from_slice(&self.body).unwrap_or_default()
+    }
+}
+
+impl Client {
+    /// Sends one request to one address and returns the whole answer.
+    pub async fn call(
+        &self,
+        address: SocketAddr,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: impl Into<Bytes>,
+    ) -> Result<Answer, String> {
+        let mut request = Request::builder()
+            .method(method)
+            .uri(format!("http://{address}{path}"));
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let request = request
+            .body(Full::new(body.into()))
+            .map_err(|error| error.to_string())?;
+        let call = async {
+            let answer = self
+                .inner
+                .request(request)
+                .await
+                .map_err(|e| e.to_string())?;
+            let (head, body) = answer.into_parts();
+            let body = Limited::new(body, MAX_ANSWER_BYTES)
+                .collect()
+                .await
+                .map_err(|error| error.to_string())?;
+            Ok(Answer {
+                status: head.status.as_u16(),
+                headers: head.headers,
+                body: body.to_bytes(),
+            })
+        };
+        time::timeout(CALL_TIMEOUT, call)
+            .await
+            .unwrap_or_else(|_| Err(format!("{address} did not answer in time")))
+    }
+}
