--- a/crates/cli/src/demo/cluster.rs
+++ b/crates/cli/src/demo/cluster.rs
@@ -1,24 +1,13 @@
 use {
     super::Error,
     daemon::{Daemon, Options},
+    fake::deployment::Deployment,
     settings::Settings,
-    std::{
-        fs, io,
-        net::{SocketAddr, TcpListener},
-        path::{Path, PathBuf},
-    },
+    std::{fs, net::SocketAddr, path::PathBuf},
 };
 
-/// Site of each instance; the first three have disks.
-const SITES: [(&str, &str); 7] = [
-    ("north", "north-a"),
-    ("north", "north-a"),
-    ("north", "north-b"),
-    ("north", "north-b"),
-    ("south", "south-a"),
-    ("south", "south-a"),
-    ("south", "south-a"),
-];
+/// Instances of the demonstration.
+const INSTANCES: usize = 7;
 
 /// Instances with disks.
 const CONTROL: usize = 3;
@@ -26,16 +15,8 @@
 /// Seven instances in this process.
 pub struct Cluster {
     folder: PathBuf,
-    settings: Vec<Settings>,
-    daemons: Vec<Option<Daemon>>,
-}
-
-/// Returns free loopback addresses.
-fn free(count: usize) -> io::Result<Vec<SocketAddr>> {
-    let listeners: Vec<TcpListener> = (0..count)
-        .map(|_| TcpListener::bind("127.0.0.1:0"))
-        .collect::<io::Result<_>>()?;
-    listeners.iter().map(TcpListener::local_addr).collect()
+    deployment: Deployment,
+    daemons: Vec<Daemon>,
 }
 
 impl Cluster {
@@ -43,56 +24,40 @@
     pub async fn spawn(folder: impl Into<PathBuf>) -> Result<Cluster, Error> {
         let folder = folder.into();
         fs::create_dir_all(&folder)?;
-        let addresses = free(SITES.len() * 3)?;
-        let settings = (0..SITES.len())
-            .map(|index| {
-                let text = text(index, &addresses, &folder);
-                Settings::parse(format!("a{}.jsonc", index + 1), &text)
-            })
-            .collect::<Result<Vec<_>, _>>()?;
+        let deployment = Deployment::new(INSTANCES, CONTROL, &folder)?;
         let mut cluster = Cluster {
             folder,
-            daemons: settings.iter().map(|_| None).collect(),
-            settings,
+            deployment,
+            daemons: Vec::new(),
         };
-        for index in 0..cluster.settings.len() {
-            cluster.start(index).await?;
+        for index in 0..INSTANCES {
+            let path = format!("a{}.jsonc", index + 1);
+            let settings = Settings::parse(path, &cluster.deployment.text(index))?;
+            let options = Options {
+                bootstrap: true,
+                ..Options::default()
+            };
+            cluster
+                .daemons
+                .push(Daemon::spawn(&settings, options).await?);
         }
         Ok(cluster)
     }
 
-    /// Starts one instance that does not run.
-    pub async fn start(&mut self, index: usize) -> Result<(), Error> {
-        let options = Options {
-            bootstrap: true,
-            ..Options::default()
-        };
-        self.daemons[index] = Some(Daemon::spawn(&self.settings[index], options).await?);
-        Ok(())
-    }
-
     /// API addresses of all instances.
     pub fn api(&self) -> Vec<SocketAddr> {
-        self.settings
-            .iter()
-            .map(|settings| settings.listen.api)
-            .collect()
+        self.deployment.api()
     }
 
     /// Addresses on which the instances accept requests.
     pub fn requests(&self) -> Vec<SocketAddr> {
-        self.settings
-            .iter()
-            .map(|settings| settings.listen.requests)
-            .collect()
+        self.deployment.requests()
     }
 
     /// Shuts all instances down, those without disks first.
     pub async fn shutdown(&mut self) {
-        for daemon in self.daemons.iter_mut().rev() {
-            if let Some(daemon) = daemon.take() {
-                daemon.shutdown().await;
-            }
+        while let Some(daemon) = self.daemons.pop() {
+            daemon.shutdown().await;
         }
     }
 }
@@ -102,43 +67,3 @@
         drop(fs::remove_dir_all(&self.folder));
     }
 }
-
-fn text(index: usize, addresses: &[SocketAddr], folder: &Path) -> String {
-    let instances: Vec<String> = SITES
-        .iter()
-        .enumerate()
-        .map(|(other, (region, data_centre))| {
-            let id = other + 1;
-            let peers = addresses[other * 3 + 2];
-            format!(
-                r#"{{ "name": "a{id}", "id": {id}, "region": "{region}",
-                    "data_centre": "{data_centre}", "peers": "{peers}" }}"#
-            )
-        })
-        .collect();
-    let (region, data_centre) = SITES[index];
-    let id = index + 1;
-    let data = if index < CONTROL {
-        let path = folder.join(format!("a{id}"));
-        format!(
-            r#""data": {{ "folder": {:?} }},"#,
-            path.display().to_string()
-        )
-    } else {
-        String::new()
-    };
-    let [api, requests, peers] = [0, 1, 2].map(|offset| addresses[index * 3 + offset]);
-    format!(
-        r#"{{
-            "instance": {{ "name": "a{id}", "id": {id}, "region": "{region}",
-                "data_centre": "{data_centre}" }},
-            "listen": {{ "api": "{api}", "requests": "{requests}", "peers": "{peers}" }},
-            "instances": [{}],
-            "groups": {{ "config": [1, 2, 3], "north": [1, 2, 3] }},
-            "homes": {{ "north": "north", "south": "north" }},
-            {data}
-            "requests": {{ "drain_settle": "100ms" }},
-        }}"#,
-        instances.join(", ")
-    )
-}
--- a/crates/cli/src/demo/mod.rs
+++ b/crates/cli/src/demo/mod.rs
@@ -2,7 +2,6 @@
 
 mod cluster;
 mod error;
-mod platform;
 mod story;
 
-pub use {cluster::Cluster, error::Error, platform::Platform, story::run};
+pub use {cluster::Cluster, error::Error, story::run};
--- a/crates/cli/src/demo/story.rs
+++ b/crates/cli/src/demo/story.rs
@@ -1,6 +1,9 @@
 use {
-    super::{Cluster, Error, Platform},
-    fake::client::{Answer, Client},
+    super::{Cluster, Error},
+    fake::{
+        client::{Answer, Client},
+        platform::Platform,
+    },
     http::Method,
     model::place::Site,
     serde_json::{Value, json},
--- /dev/null
+++ b/crates/fake/src/deployment/mod.rs
@@ -0,0 +1,5 @@
+//! Settings of small deployments on loopback.
+
+mod deployment;
+
+pub use deployment::Deployment;
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -2,5 +2,7 @@
 //! demo and by `trefoilvalve stand-in`; they are not part of the product.
 
 pub mod client;
+pub mod deployment;
+pub mod platform;
 pub mod upstream;
 pub mod worker;
--- /dev/null
+++ b/crates/fake/src/platform/mod.rs
@@ -0,0 +1,5 @@
+//! A set of stand-in workers and upstreams.
+
+mod platform;
+
+pub use platform::Platform;
--- a/crates/cli/src/demo/platform.rs
+++ b/crates/fake/src/platform/platform.rs
@@ -1,9 +1,8 @@
 use {
-    super::Error,
-    fake::{client::Client, upstream::Upstream, worker::Worker},
+    crate::{client::Client, upstream::Upstream, worker::Worker},
     http::Method,
     model::place::Site,
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    std::{io, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{task::JoinHandle, time},
 };
 
@@ -33,7 +32,7 @@
         racks: usize,
         upstreams: usize,
         instances: &[SocketAddr],
-    ) -> Result<Platform, Error> {
+    ) -> io::Result<Platform> {
         let client = Client::new(instances);
         let mut platform = Platform {
             workers: Vec::new(),
