--- a/crates/disk/src/fs/real.rs
+++ b/crates/disk/src/fs/real.rs
@@ -2,7 +2,7 @@
     super::{File, FileSystem, Guard},
     std::{
         fs::{self, OpenOptions, TryLockError},
-        io::{self, Read, Write},
+        io::{self, Read, Seek, SeekFrom, Write},
         path::Path,
     },
 };
@@ -11,17 +11,27 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Real;
 
-impl File for fs::File {
+/// An open file whose position is at its end.
+struct Open(fs::File);
+
+impl File for Open {
     fn append(&mut self, bytes: &[u8]) -> io::Result<()> {
-        self.write_all(bytes)
+        self.0.write_all(bytes)
+    }
+
+    fn rewrite(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.0.rewind()?;
+        self.0.write_all(bytes)?;
+        self.0.seek(SeekFrom::End(0)).map(drop)
     }
 
     fn truncate(&mut self, len: u64) -> io::Result<()> {
-        self.set_len(len)
+        self.0.set_len(len)?;
+        self.0.seek(SeekFrom::End(0)).map(drop)
     }
 
     fn sync(&mut self) -> io::Result<()> {
-        self.sync_data()
+        self.0.sync_data()
     }
 }
 
@@ -47,13 +57,13 @@
     }
 
     fn create(&self, path: &Path) -> io::Result<Box<dyn File>> {
-        let file = OpenOptions::new().create(true).append(true).open(path)?;
-        file.set_len(0)?;
-        Ok(Box::new(file))
+        Ok(Box::new(Open(fs::File::create(path)?)))
     }
 
     fn open(&self, path: &Path) -> io::Result<Box<dyn File>> {
-        Ok(Box::new(OpenOptions::new().append(true).open(path)?))
+        let mut file = OpenOptions::new().write(true).open(path)?;
+        file.seek(SeekFrom::End(0))?;
+        Ok(Box::new(Open(file)))
     }
 
     fn rename(&self, from: &Path, to: &Path) -> io::Result<()> {
--- a/crates/disk/src/store/active.rs
+++ b/crates/disk/src/store/active.rs
@@ -67,6 +67,10 @@
     }
 
     /// Opens the newest segment and removes a torn frame at its end.
+    ///
+    /// The segment is written again in place. After a sync that failed in an earlier process, the
+    /// system may show bytes that are not on the disk and take them for written; only a new write
+    /// makes it write them.
     pub fn open(files: &Files, found: &Found) -> Result<Active, Error> {
         let path = files.segment(found.sequence);
         let mut file = files.fs.open(&path).map_err(Error::io("open", &path))?;
@@ -80,7 +84,11 @@
             file.truncate(found.intact)
                 .map_err(Error::io("truncate", &path))?;
         }
-        // What was read may still be only in the page cache if a process died between write and sync.
+        let bytes = files
+            .fs
+            .read(&path, found.intact)
+            .map_err(Error::io("read", &path))?;
+        file.rewrite(&bytes).map_err(Error::io("write", &path))?;
         file.sync().map_err(|error| sync_failed(&path, &error))?;
         Ok(Active {
             file,
--- a/crates/disk/src/store/files.rs
+++ b/crates/disk/src/store/files.rs
@@ -94,9 +94,11 @@
     }
 }
 
-/// The number in a name of exactly twenty digits after `prefix`.
+/// The number in a name of exactly twenty digits after `prefix`. The largest number is no number of
+/// a file, so that a successor always exists.
 fn number(name: &str, prefix: &str) -> Option<u64> {
     let digits = name.strip_prefix(prefix)?;
     (digits.len() == 20 && digits.bytes().all(|b| b.is_ascii_digit()))
         .then(|| digits.parse().ok())?
+        .filter(|number| *number != u64::MAX)
 }
--- a/crates/disk/src/store/loaded.rs
+++ b/crates/disk/src/store/loaded.rs
@@ -1,10 +1,11 @@
 use {
     super::{
-        Contents, Snapshot,
-        bounds::{MAX_SEGMENT_BYTES, MAX_SNAPSHOT_BYTES, MAX_START_BYTES},
+        Contents,
+        bounds::{MAX_LOG_BYTES, MAX_SEGMENT_BYTES, MAX_START_BYTES},
         files::{Files, Listing},
         replay::Replay,
         segment::{self, Segment},
+        snapshot,
     },
     crate::{
         Error,
@@ -13,8 +14,8 @@
     std::{io::ErrorKind, path::Path},
 };
 
-/// Index and term before the content of a snapshot.
-const SNAPSHOT_PREFIX_BYTES: usize = 16;
+/// Largest log on the disk: appends stop at `MAX_LOG_BYTES`, the last one included.
+const MAX_LOADED_BYTES: u64 = MAX_LOG_BYTES + MAX_SEGMENT_BYTES;
 
 /// A segment as found on the disk.
 #[derive(Clone, Copy, Debug)]
@@ -41,7 +42,7 @@
 impl Loaded {
     pub fn read(files: &Files, listing: &Listing) -> Result<Loaded, Error> {
         let snapshot = match listing.snapshots.last() {
-            Some(&index) => Some(read_snapshot(files, index)?),
+            Some(&index) => Some(snapshot::read(files, index)?),
             None => None,
         };
         let mut replay = Replay::default();
@@ -52,6 +53,14 @@
             if position > 0 && sequence != listing.segments[position - 1] + 1 {
                 return Err(damaged(&path, 0, "the segment before it is missing"));
             }
+            if segments
+                .iter()
+                .map(|found: &Found| found.bytes)
+                .sum::<u64>()
+                > MAX_LOADED_BYTES
+            {
+                return Err(damaged(&path, 0, "the log is longer than any written one"));
+            }
             let newest = position + 1 == listing.segments.len();
             match read_segment(files, sequence, newest, &mut replay)? {
                 Some(found) => segments.push(found),
@@ -78,7 +87,7 @@
     }
 }
 
-fn damaged(path: &Path, offset: u64, detail: &str) -> Error {
+pub fn damaged(path: &Path, offset: u64, detail: &str) -> Error {
     Error::Damaged {
         path: path.to_owned(),
         offset,
@@ -86,7 +95,8 @@
     }
 }
 
-fn read(files: &Files, path: &Path, bound: u64) -> Result<Vec<u8>, Error> {
+/// Reads a file that no writer makes longer than `bound`.
+pub fn read(files: &Files, path: &Path, bound: u64) -> Result<Vec<u8>, Error> {
     files
         .fs
         .read(path, bound)
@@ -98,25 +108,6 @@
         })
 }
 
-fn read_snapshot(files: &Files, index: u64) -> Result<Snapshot, Error> {
-    let path = files.snapshot(index);
-    let overhead = HEADER_BYTES + frame::PREFIX_BYTES + SNAPSHOT_PREFIX_BYTES;
-    let mut bytes = read(files, &path, (MAX_SNAPSHOT_BYTES + overhead) as u64)?;
-    let header = files.header(Kind::Snapshot, index);
-    if !header.check(&bytes, &path)? {
-        return Err(damaged(&path, 0, "the header is damaged"));
-    }
-    let term = frame::decode(header.salt(), &bytes, HEADER_BYTES)
-        .filter(|payload| HEADER_BYTES + frame::PREFIX_BYTES + payload.len() == bytes.len())
-        .and_then(|payload| {
-            let mut reader = crate::format::Reader::new(payload);
-            (reader.u64()? == index).then(|| reader.u64())?
-        })
-        .ok_or_else(|| damaged(&path, HEADER_BYTES as u64, "the content is damaged"))?;
-    bytes.drain(..overhead);
-    Ok(Snapshot { index, term, bytes })
-}
-
 /// Applies a segment; none if its creation was interrupted.
 fn read_segment(
     files: &Files,
@@ -159,11 +150,3 @@
     }
     Ok(Some(found))
 }
-
-/// The parts of a snapshot's payload before its content.
-pub fn snapshot_prefix(index: u64, term: u64) -> [u8; SNAPSHOT_PREFIX_BYTES] {
-    let mut prefix = [0; SNAPSHOT_PREFIX_BYTES];
-    prefix[..8].copy_from_slice(&index.to_le_bytes());
-    prefix[8..].copy_from_slice(&term.to_le_bytes());
-    prefix
-}
--- a/crates/disk/src/store/mod.rs
+++ b/crates/disk/src/store/mod.rs
@@ -2,12 +2,14 @@
 
 mod active;
 mod bounds;
+mod claim;
 mod contents;
 mod files;
 mod loaded;
 mod replay;
 mod reserve;
 mod segment;
+mod snapshot;
 mod store;
 mod terms;
 
--- a/crates/disk/src/store/reserve.rs
+++ b/crates/disk/src/store/reserve.rs
@@ -7,8 +7,11 @@
     std::io::{self, ErrorKind},
 };
 
-/// A pattern that file systems neither compress away nor store as a hole.
-const BLOCK_BYTES: usize = 64 << 10;
+/// Size of one write of the reserve file.
+const BLOCK_BYTES: usize = 1 << 20;
+
+/// Length after which the content of the reserve file repeats.
+const PATTERN_BYTES: u32 = 4 << 10;
 
 /// A file that occupies space which records that were accepted can use when the disk is full.
 pub struct Reserve {
@@ -59,9 +62,11 @@
     fn create(&mut self, files: &Files, needed: u64) -> Result<(), Error> {
         let path = files.reserve();
         let temporary = Files::temporary(&path);
-        let block: Vec<u8> = (0..BLOCK_BYTES as u32)
+        // A pattern that file systems neither compress away nor store as a hole.
+        let pattern: Vec<u8> = (0..PATTERN_BYTES)
             .map(|i| (i.wrapping_mul(2_654_435_761) >> 13) as u8)
             .collect();
+        let block = pattern.repeat(BLOCK_BYTES / pattern.len());
         let write = || -> io::Result<()> {
             let mut file = files.fs.create(&temporary)?;
             for _ in 0..RESERVE_BYTES / BLOCK_BYTES as u64 {
--- a/crates/disk/src/store/store.rs
+++ b/crates/disk/src/store/store.rs
@@ -6,16 +6,14 @@
             FRAME_BYTES, GROWN_SEGMENT_BYTES, MAX_ENTRY_BYTES, MAX_HARD_BYTES, MAX_LOG_BYTES,
             MAX_PENDING_BYTES, MAX_SNAPSHOT_BYTES, SEGMENT_BYTES,
         },
+        claim::Claim,
         files::Files,
-        loaded::{Loaded, snapshot_prefix},
-        reserve::{Reserve, full, is_full},
+        loaded::Loaded,
+        reserve::Reserve,
+        snapshot,
         terms::Terms,
     },
-    crate::{
-        Error, Folder,
-        folder::Shared,
-        format::{HEADER_BYTES, Kind, Record, frame},
-    },
+    crate::{Error, Folder, format::Record},
     std::{
         collections::VecDeque,
         io,
@@ -64,32 +62,6 @@
     highest: u64,
 }
 
-/// Prevents a second store of the same group.
-struct Claim {
-    shared: Arc<Shared>,
-    group: String,
-}
-
-impl Claim {
-    fn new(shared: &Arc<Shared>, group: &str) -> Result<Claim, Error> {
-        if !shared.groups().insert(group.to_owned()) {
-            return Err(Error::Locked {
-                path: shared.path.join(group),
-            });
-        }
-        Ok(Claim {
-            shared: Arc::clone(shared),
-            group: group.to_owned(),
-        })
-    }
-}
-
-impl Drop for Claim {
-    fn drop(&mut self) {
-        self.shared.groups().remove(&self.group);
-    }
-}
-
 impl Store {
     /// Opens the store of a group, creating it if it does not exist, and returns what it holds.
     pub fn open(folder: &Folder, group: &str) -> Result<(Store, Contents), Error> {
@@ -108,7 +80,9 @@
             .fs
             .create_folder(&files.folder)
             .map_err(Error::io("create the folder", &files.folder))?;
+        // An earlier process may have ended between a change of names and its sync.
         sync_folder(&files, &shared.path)?;
+        sync_folder(&files, &files.folder)?;
         let listing = files.list()?;
         let loaded = Loaded::read(&files, &listing)?;
         // Temporary files belong to writes that were never reported as done.
@@ -282,6 +256,9 @@
 
     /// Makes every change so far durable and returns the index of the last durable entry.
     ///
+    /// A crash before it returns keeps none or all of the changes. Only more than 4 MiB of changes
+    /// are written in parts, so that the first of them may be kept.
+    ///
     /// [`Error::Full`] keeps the changes in memory; a later call writes them.
     pub fn sync(&mut self) -> Result<u64, Error> {
         self.check_usable()?;
@@ -321,7 +298,7 @@
             self.reserve.release(&self.files);
             self.reserve.check(&self.files, needed)?;
         }
-        let written = self.write_snapshot(index, term, bytes, needed);
+        let written = snapshot::write(&self.files, index, term, bytes, needed);
         self.note(written)?;
         self.terms.compact(index, term);
         self.durable = self.terms.last().0;
@@ -333,43 +310,6 @@
         }
     }
 
-    fn write_snapshot(
-        &self,
-        index: u64,
-        term: u64,
-        bytes: &[u8],
-        needed: u64,
-    ) -> Result<(), Error> {
-        let files = &self.files;
-        let path = files.snapshot(index);
-        let temporary = Files::temporary(&path);
-        let header = files.header(Kind::Snapshot, index);
-        let first = snapshot_prefix(index, term);
-        let prefix = frame::prefix(header.salt(), HEADER_BYTES as u64, &[&first, bytes]);
-        let write = || -> io::Result<_> {
-            let mut file = files.fs.create(&temporary)?;
-            for part in [&header.encode()[..], &prefix, &first, bytes] {
-                file.append(part)?;
-            }
-            Ok(file)
-        };
-        let mut file = write().map_err(|error| {
-            // Opening removes a leftover, so a failure to remove it now does no harm.
-            let _ = files.fs.remove(&temporary);
-            match is_full(&error) {
-                true => full(files, needed),
-                false => Error::io("write", &temporary)(error),
-            }
-        })?;
-        file.sync()
-            .map_err(|error| sync_failed(&temporary, &error))?;
-        files
-            .fs
-            .rename(&temporary, &path)
-            .map_err(Error::io("rename", &temporary))?;
-        sync_folder(files, &files.folder)
-    }
-
     /// Starts a new segment if one is due, and removes what the snapshot covers.
     fn settle(&mut self) -> Result<(), Error> {
         self.check_usable()?;
