--- a/crates/settings/src/parse/check.rs
+++ b/crates/settings/src/parse/check.rs
@@ -211,7 +211,9 @@
     let Some(homes) = &drafts.homes else { return };
     let regions = known(drafts, |draft| Some(draft.region.as_ref()?.value.clone()));
     for (region, group) in &homes.value {
+        // The absence of `config` is reported once, at `groups`.
         if let Some(groups) = &drafts.groups
+            && group.value != "config"
             && !groups
                 .value
                 .iter()
--- a/crates/settings/src/parse/draft.rs
+++ b/crates/settings/src/parse/draft.rs
@@ -103,7 +103,7 @@
             }),
             groups: groups(root, faults),
             homes: homes(root, faults),
-            has_data: data.is_some(),
+            has_data: root.has("data"),
             data: data
                 .and_then(|section| section.file("folder", faults))
                 .map(|folder| Data { folder }),
@@ -135,9 +135,9 @@
     let mut groups = Vec::new();
     for (name, value) in map.value {
         let label = format!("groups.{}", name.value);
-        let Some(list) = elements(value, &rule("groups.*"), &label, faults) else {
-            continue;
-        };
+        let list = elements(value, &rule("groups.*"), &label, faults);
+        let complete = list.is_some();
+        let list = list.unwrap_or(Located::new(Vec::new(), name.at));
         let expected = list.value.len();
         let members: Vec<_> = list
             .value
@@ -147,7 +147,7 @@
         groups.push(Group {
             name: Located::new(name.value.to_owned(), name.at),
             at: list.at,
-            complete: members.len() == expected,
+            complete: complete && members.len() == expected,
             members,
         });
     }
--- a/crates/settings/src/parse/section.rs
+++ b/crates/settings/src/parse/section.rs
@@ -91,6 +91,11 @@
         }
     }
 
+    /// Tells whether the key `name` is present, readable or not.
+    pub fn has(&self, name: &str) -> bool {
+        self.object.get(name).is_some()
+    }
+
     /// The section `name` inside this one.
     pub fn section(&self, name: &str, faults: &mut Faults) -> Option<Section<'a>> {
         let (key, value) = self.find(name, faults)?;
