Check the consensus core under combined faults

A seeded in-memory group with virtual time injects message loss, reordering, partitions, pauses, clock drift, crashes, slow and replaced disks, and compares the replicas and clients with an oracle.

--- a/crates/quorum/src/node/commit.rs
+++ b/crates/quorum/src/node/commit.rs
@@ -120,7 +120,7 @@
             snapshot: snapshot.clone(),
         });
         self.snapshot = Some(Arc::new(snapshot));
-        self.log
-            .compact(index.saturating_sub(self.settings.keep_entries));
+        let kept = index.saturating_sub(self.settings.keep_entries);
+        self.log.compact(kept.min(self.transfer_floor()));
     }
 }
--- a/crates/quorum/src/node/election.rs
+++ b/crates/quorum/src/node/election.rs
@@ -112,17 +112,14 @@
     pub(super) fn on_vote(&mut self, from: Member, last_index: u64, last_term: u64) {
         let free = self.vote.is_none_or(|vote| vote == from);
         let granted = free && !self.is_leading() && self.is_up_to_date(last_index, last_term);
-        let early = self.has_fault(Fault::VoteBeforeSync);
-        if granted && early {
-            self.send(from, Body::VoteReply { granted });
-        }
         if granted && self.vote.is_none() {
             self.vote = Some(from);
             self.persist_hard();
             self.reset_deadline();
         }
-        if !(granted && early) {
-            self.send(from, Body::VoteReply { granted });
+        self.send(from, Body::VoteReply { granted });
+        if granted && self.has_fault(Fault::VoteBeforeSync) {
+            self.effects.rotate_right(1);
         }
     }
 
--- a/crates/quorum/src/node/transfer.rs
+++ b/crates/quorum/src/node/transfer.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Mode, Node, Role},
+    super::{Mode, Node, Progress, Role},
     crate::{Body, Effect, Member, Members, Snapshot, log::Log},
     std::sync::Arc,
 };
@@ -47,6 +47,30 @@
         }
     }
 
+    /// Entries after this index follow a snapshot that a live replica is receiving. Without them that
+    /// replica would need the next snapshot at once, and never catch up if snapshots are frequent.
+    pub(super) fn transfer_floor(&self) -> u64 {
+        let Role::Leader(lead) = &self.role else {
+            return u64::MAX;
+        };
+        let patience = self.settings.election_max;
+        let floor = |progress: &Progress| match &progress.mode {
+            Mode::Snapshot { snapshot, .. }
+                if progress
+                    .acked
+                    .is_some_and(|acked| self.now < acked + patience) =>
+            {
+                Some(snapshot.index)
+            }
+            _ => None,
+        };
+        lead.progress
+            .values()
+            .filter_map(floor)
+            .min()
+            .unwrap_or(u64::MAX)
+    }
+
     fn chunk(&mut self, to: Member) -> Option<Body> {
         let Role::Leader(lead) = &mut self.role else {
             return None;
--- /dev/null
+++ b/crates/quorum/tests/net/client.rs
@@ -0,0 +1,163 @@
+use {
+    super::{
+        Item, MS, World, machine,
+        register::{Action, Record},
+    },
+    quorum::{Event, Outcome},
+    rand::RngExt,
+};
+
+/// Time after which a client takes an operation's outcome as unknown.
+const PATIENCE: u64 = 1_500 * MS;
+
+/// A client with at most one operation at a time.
+#[derive(Default)]
+pub struct Client {
+    /// Replica to ask first.
+    guess: usize,
+    /// Latest value seen.
+    value: u64,
+    pub current: Option<Request>,
+}
+
+#[derive(Clone, Copy)]
+pub struct Request {
+    pub ticket: u64,
+    start: u64,
+    /// The expected value of a compare-and-set; `None` for a read.
+    expected: Option<u64>,
+    /// What earlier answers had shown when the operation started.
+    shown: u64,
+}
+
+impl World {
+    pub fn call(&mut self, client: usize) {
+        if self.time >= self.calls_end {
+            return;
+        }
+        self.tickets += 1;
+        let ticket = self.tickets;
+        let (time, shown) = (self.time, self.oracle.shown);
+        let mut to = self.clients[client].guess;
+        if self.rng.random_bool(0.3) {
+            to = self.rng.random_range(0..self.replicas.len());
+        }
+        let value = self.clients[client].value;
+        let expected = self.rng.random_bool(0.6).then_some(value);
+        self.clients[client].guess = to;
+        self.clients[client].current = Some(Request {
+            ticket,
+            start: time,
+            expected,
+            shown,
+        });
+        self.owners.insert(ticket, client);
+        let event = match expected {
+            Some(expected) => Event::Propose {
+                ticket,
+                command: machine::command(ticket, expected),
+            },
+            None => Event::Read { ticket },
+        };
+        let delay = self.rng.random_range(0..2 * MS);
+        self.at(delay, Item::Request { to, event });
+        self.at(PATIENCE, Item::Expire { client, ticket });
+    }
+
+    /// The client gives up waiting.
+    pub fn expire(&mut self, client: usize, ticket: u64) {
+        let Some(request) = self.clients[client]
+            .current
+            .take_if(|it| it.ticket == ticket)
+        else {
+            return;
+        };
+        if let Some(expected) = request.expected {
+            let action = Action::Write {
+                expected,
+                new: ticket,
+            };
+            self.oracle.history.push(Record {
+                start: request.start,
+                end: u64::MAX,
+                action,
+            });
+        }
+        self.clients[client].guess = self.rng.random_range(0..self.replicas.len());
+        self.at(MS, Item::Call { client });
+    }
+
+    /// A replica ended an operation.
+    pub fn answer(&mut self, at: usize, ticket: u64, outcome: Outcome) -> Result<(), String> {
+        let machine = &self.replicas[at].machine;
+        let (value, applied) = (machine.value, machine.applied);
+        let found = machine.found.get(&ticket).copied();
+        if let Outcome::NotLeader { .. } | Outcome::Refused { .. } = outcome {
+            if self.oracle.commands.contains_key(&ticket) {
+                return Err(format!(
+                    "command {ticket} was applied and reported as not run"
+                ));
+            }
+            self.oracle.refused.insert(ticket);
+        }
+        if !self.ended.insert(ticket) {
+            return Err(format!("ticket {ticket} ended twice"));
+        }
+        let Some(client) = self.owners.get(&ticket).copied() else {
+            return Ok(());
+        };
+        if outcome == Outcome::Lost {
+            self.expire(client, ticket);
+            return Ok(());
+        }
+        let Some(request) = self.clients[client]
+            .current
+            .take_if(|it| it.ticket == ticket)
+        else {
+            return Ok(());
+        };
+        let (start, end) = (request.start, self.time);
+        let mut action = None;
+        let mut delay = self.rng.random_range(MS..40 * MS);
+        match outcome {
+            Outcome::Committed { index } => {
+                let found = found.ok_or_else(|| format!("{ticket} committed before applied"))?;
+                if self.oracle.commands.get(&ticket) != Some(&index) {
+                    return Err(format!("command {ticket} is not at {index}"));
+                }
+                self.stats.writes += 1;
+                self.oracle.shown = self.oracle.shown.max(index);
+                let (expected, new) = (request.expected.unwrap_or(0), ticket);
+                let changed = found == expected;
+                self.clients[client].value = if changed { new } else { found };
+                action = Some(if changed {
+                    Action::Write { expected, new }
+                } else {
+                    Action::Found { value: found }
+                });
+            }
+            Outcome::ReadReady { .. } => {
+                if applied < request.shown {
+                    return Err(format!(
+                        "stale read: {applied} after {} was shown",
+                        request.shown
+                    ));
+                }
+                self.stats.reads += 1;
+                self.oracle.shown = self.oracle.shown.max(applied);
+                self.clients[client].value = value;
+                action = Some(Action::Found { value });
+            }
+            Outcome::NotLeader { leader } => {
+                let random = self.rng.random_range(0..self.replicas.len());
+                self.clients[client].guess = leader.map_or(random, |id| id as usize - 1);
+            }
+            _ => delay = 100 * MS,
+        }
+        if let Some(action) = action {
+            self.oracle.history.push(Record { start, end, action });
+        }
+        self.at(delay, Item::Call { client });
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/quorum/tests/net/disk.rs
@@ -0,0 +1,99 @@
+use {
+    quorum::{Effect, Event, Stable},
+    std::collections::VecDeque,
+};
+
+/// A disk that performs operations in order and keeps what was performed.
+pub struct Disk {
+    pub stable: Stable,
+    queue: VecDeque<Effect>,
+    issued: u64,
+    performed: u64,
+    /// Last operation that later messages must wait for.
+    barrier: u64,
+}
+
+impl Disk {
+    pub fn new(stable: Stable) -> Disk {
+        Disk {
+            stable,
+            queue: VecDeque::new(),
+            issued: 0,
+            performed: 0,
+            barrier: 0,
+        }
+    }
+
+    /// Queues an operation; returns whether the disk was idle.
+    pub fn submit(&mut self, operation: Effect) -> bool {
+        self.issued += 1;
+        if matches!(
+            &operation,
+            Effect::Persist { hard: Some(_), .. } | Effect::Restore { .. }
+        ) {
+            self.barrier = self.issued;
+        }
+        self.queue.push_back(operation);
+        self.queue.len() == 1
+    }
+
+    /// The operation a message issued now must wait for, if it is not performed yet.
+    pub fn pending_barrier(&self) -> Option<u64> {
+        (self.barrier > self.performed).then_some(self.barrier)
+    }
+
+    pub fn performed(&self) -> u64 {
+        self.performed
+    }
+
+    pub fn is_busy(&self) -> bool {
+        !self.queue.is_empty()
+    }
+
+    /// Performs the oldest operation; returns the event it is reported with.
+    pub fn perform(&mut self) -> Option<Event> {
+        let operation = self.queue.pop_front()?;
+        self.performed += 1;
+        match operation {
+            Effect::Persist {
+                hard,
+                truncate,
+                entries,
+            } => {
+                self.stable.hard = hard.unwrap_or(self.stable.hard);
+                if let Some(index) = truncate {
+                    self.stable.entries.retain(|entry| entry.index < index);
+                }
+                let last = entries.last().map(|entry| entry.index);
+                self.stable.entries.extend(entries);
+                last.map(|index| Event::Synced { index })
+            }
+            Effect::Restore { snapshot } => {
+                let index = snapshot.index;
+                self.stable.entries.clear();
+                self.stable.snapshot = Some(snapshot);
+                Some(Event::Synced { index })
+            }
+            Effect::Save { snapshot } => {
+                self.stable
+                    .entries
+                    .retain(|entry| entry.index > snapshot.index);
+                self.stable.snapshot = Some(snapshot);
+                None
+            }
+            _ => None,
+        }
+    }
+
+    /// Loses the queued operations but for the first `kept`, which reached the disk unreported.
+    pub fn crash(&mut self, kept: usize) {
+        for _ in 0..kept.min(self.queue.len()) {
+            self.perform();
+        }
+        *self = Disk::new(std::mem::take(&mut self.stable));
+    }
+
+    pub fn queued(&self) -> usize {
+        self.queue.len()
+    }
+}
--- /dev/null
+++ b/crates/quorum/tests/net/machine.rs
@@ -0,0 +1,57 @@
+use {
+    quorum::{Entry, Payload, Snapshot},
+    std::collections::HashMap,
+};
+
+/// Replicated register with compare-and-set. A command is the new value (unique) and the expected one.
+#[derive(Default)]
+pub struct Machine {
+    pub applied: u64,
+    pub value: u64,
+    /// New values of all commands, in the order of application.
+    pub commands: Vec<u64>,
+    /// Value found by each command applied here since the start.
+    pub found: HashMap<u64, u64>,
+}
+
+pub fn command(new: u64, expected: u64) -> Vec<u8> {
+    [new.to_le_bytes(), expected.to_le_bytes()].concat()
+}
+
+fn words(bytes: &[u8]) -> Vec<u64> {
+    let word = |chunk: &[u8]| u64::from_le_bytes(chunk.try_into().expect("eight bytes"));
+    bytes.chunks_exact(8).map(word).collect()
+}
+
+impl Machine {
+    pub fn load(snapshot: Option<&Snapshot>) -> Machine {
+        let Some(snapshot) = snapshot else {
+            return Machine::default();
+        };
+        let mut commands = words(&snapshot.data);
+        let value = commands.remove(0);
+        Machine {
+            applied: snapshot.index,
+            value,
+            commands,
+            found: HashMap::new(),
+        }
+    }
+
+    pub fn apply(&mut self, entry: &Entry) {
+        self.applied = entry.index;
+        if let Payload::Command(command) = &entry.payload {
+            let words = words(command);
+            self.found.insert(words[0], self.value);
+            self.commands.push(words[0]);
+            if self.value == words[1] {
+                self.value = words[0];
+            }
+        }
+    }
+
+    pub fn save(&self) -> Vec<u8> {
+        let words = std::iter::once(&self.value).chain(&self.commands);
+        words.flat_map(|word| word.to_le_bytes()).collect()
+    }
+}
--- /dev/null
+++ b/crates/quorum/tests/net/nemesis.rs
@@ -0,0 +1,155 @@
+use {
+    super::{Disk, Item, MS, Task, World},
+    quorum::{Body, Member, Message, Stable},
+    rand::{RngExt, seq::IndexedRandom},
+};
+
+impl World {
+    /// Injects one fault, or a combination.
+    pub fn attack(&mut self) {
+        let count = self.replicas.len();
+        let at = self.rng.random_range(0..count);
+        let long = self.rng.random_range(100..4_000) * MS;
+        self.stats.faults += 1;
+        match self.rng.random_range(0..12) {
+            0 => self.crash(at),
+            1 => (0..count)
+                .filter(|_| self.rng.random_bool(0.7))
+                .collect::<Vec<_>>()
+                .into_iter()
+                .for_each(|at| self.crash(at)),
+            2 => self.isolate(at, long, true, true),
+            3 => {
+                let one_way = self.rng.random_bool(0.5);
+                self.isolate(at, long, one_way, !one_way);
+            }
+            4 => {
+                if let Some(leader) = self.leader() {
+                    self.isolate(leader, long, true, true);
+                }
+            }
+            5 => self.replicas[at].paused = self.time + long,
+            6 => {
+                if let Some(leader) = self.leader() {
+                    self.replicas[leader].paused = self.time + long;
+                }
+            }
+            7 => {
+                self.loss = self.rng.random_range(0.0..0.3);
+                self.delay = *[10, 50, 400].choose(&mut self.rng).unwrap_or(&10) * MS;
+                self.at(long, Item::CalmNetwork);
+            }
+            8 => {
+                self.replicas[at].latency = self.rng.random_range(20..900) * MS;
+                self.at(long, Item::CalmDisk { at });
+            }
+            9 => self.replace_disk(at),
+            10 => {
+                if let Some(leader) = self.leader()
+                    && self.rng.random_bool(0.5)
+                {
+                    self.hand_over(leader);
+                } else if self.may_lose_disk() {
+                    let member = self.oracle.members.1.voters.choose(&mut self.rng).copied();
+                    self.operator.task = member.map(Task::Cycle);
+                }
+            }
+            _ => self.lose_copy(),
+        }
+    }
+
+    /// Leaves the latest entries on one reachable disk only: one replica lags, the disk of another is
+    /// lost, and the leader is cut off when the lagging one returns.
+    fn lose_copy(&mut self) {
+        let Some(leader) = self.leader() else { return };
+        let count = self.replicas.len();
+        let (lagging, lost) = ((leader + 1) % count, (leader + 2) % count);
+        let time = self.rng.random_range(300..900) * MS;
+        self.isolate(lagging, time, true, true);
+        self.at(time - MS, Item::Lose { at: lost });
+        self.at(
+            time - MS,
+            Item::Isolate {
+                at: leader,
+                time: 5_000 * MS,
+            },
+        );
+    }
+
+    pub fn isolate(&mut self, at: usize, time: u64, outgoing: bool, incoming: bool) {
+        let id = at as u64 + 1;
+        for other in (1..=self.replicas.len() as u64).filter(|other| *other != id) {
+            let until = self.time + time;
+            if outgoing {
+                self.blocked.insert((id, other), until);
+            }
+            if incoming {
+                self.blocked.insert((other, id), until);
+            }
+        }
+    }
+
+    pub fn crash(&mut self, at: usize) {
+        if self.replicas[at].node.is_none() {
+            return;
+        }
+        let kept = self.rng.random_range(0..=self.replicas[at].disk.queued());
+        self.replicas[at].crash(kept);
+        let down = self.rng.random_range(20..2_000) * MS;
+        self.at(down, Item::Restart { at });
+    }
+
+    /// Replaces the disk by an empty one and restarts the process as a learner to be.
+    pub fn replace_disk(&mut self, at: usize) {
+        let id = at as u64 + 1;
+        let old = Member {
+            id,
+            incarnation: self.replicas[at].disk.stable.incarnation,
+        };
+        if !self.may_lose_disk() || !self.oracle.members.1.voters.contains(&old) {
+            return;
+        }
+        self.stats.disks_lost += 1;
+        let incarnation = self.rng.random();
+        self.replicas[at].crash(0);
+        self.replicas[at].disk = Disk::new(Stable::empty(incarnation));
+        self.operator.task = Some(Task::Add(Member { id, incarnation }));
+        let down = self.rng.random_range(20..500) * MS;
+        self.at(down, Item::Restart { at });
+    }
+
+    /// Sometimes kills a replica right after it has promised something, and mutes the one that relies
+    /// on the promise. Returns whether the sender died.
+    pub fn trap(&mut self, at: usize, to: u64, message: &Message) -> bool {
+        let chance = match message.body {
+            Body::VoteReply { granted: true } => 0.1,
+            Body::AppendReply { .. } => 0.004,
+            _ => return false,
+        };
+        if self.time >= self.faults_end || !self.rng.random_bool(chance) {
+            return false;
+        }
+        self.replicas[at].crash(0);
+        self.at(50 * MS, Item::Restart { at });
+        if self.rng.random_bool(0.5) {
+            self.isolate(to as usize - 1, 4_000 * MS, true, false);
+        }
+        true
+    }
+
+    /// Ends all faults.
+    pub fn heal(&mut self) {
+        self.blocked.clear();
+        self.loss = 0.0;
+        self.delay = 10 * MS;
+        for at in 0..self.replicas.len() {
+            self.replicas[at].paused = 0;
+            self.replicas[at].latency = 2 * MS;
+            self.restart(at);
+        }
+    }
+
+    fn leader(&self) -> Option<usize> {
+        self.replicas.iter().position(|replica| replica.leads())
+    }
+}
--- /dev/null
+++ b/crates/quorum/tests/net/operator.rs
@@ -0,0 +1,96 @@
+use {
+    super::{MS, World},
+    quorum::{Change, Event, Member},
+    rand::RngExt,
+};
+
+/// Replaces members one at a time, as an operator would.
+#[derive(Default)]
+pub struct Operator {
+    pub task: Option<Task>,
+}
+
+pub enum Task {
+    /// Make a voter of the pair, which may replace one with the same id.
+    Add(Member),
+    /// Remove the voter, then add it again with the same disk.
+    Cycle(Member),
+}
+
+impl World {
+    /// Proposes the next change of the task to any replica that believes it leads.
+    pub fn operate(&mut self) -> Result<(), String> {
+        let members = self.oracle.members.1.clone();
+        let change = match self.operator.task {
+            None => return Ok(()),
+            Some(Task::Add(member)) if members.voters.contains(&member) => {
+                if !members.is_joint() {
+                    self.operator.task = None;
+                    self.stats.changes += 1;
+                }
+                return Ok(());
+            }
+            Some(Task::Add(member)) if members.is_learner(member) => Change::Promote(member),
+            Some(Task::Add(member)) => Change::Join(member),
+            Some(Task::Cycle(member)) if members.is_voter(member) => Change::Remove(member),
+            Some(Task::Cycle(member)) => {
+                self.operator.task = Some(Task::Add(member));
+                Change::Join(member)
+            }
+        };
+        let leaders: Vec<usize> = (0..self.replicas.len())
+            .filter(|at| self.replicas[*at].leads())
+            .collect();
+        if leaders.is_empty() {
+            return Ok(());
+        }
+        let at = leaders[self.rng.random_range(0..leaders.len())];
+        if self.replicas[at].paused > self.time {
+            return Ok(());
+        }
+        self.tickets += 1;
+        let committed = self.committed(at);
+        let before = self.voters(at);
+        self.step(
+            at,
+            Event::Change {
+                ticket: self.tickets,
+                change,
+            },
+        )?;
+        let after = self.voters(at);
+        let new = after.iter().find(|member| !before.contains(member));
+        if let Some(member) = new {
+            self.stats.promotions += 1;
+            let disk = &self.replicas[member.id as usize - 1].disk.stable;
+            if disk.incarnation != member.incarnation {
+                return Err(format!("promoted a lost disk {member:?}"));
+            }
+            self.oracle.promoted(disk, committed)?;
+        }
+        Ok(())
+    }
+
+    fn committed(&self, at: usize) -> u64 {
+        self.replicas[at]
+            .node
+            .as_ref()
+            .map_or(0, |node| node.commit_index())
+    }
+
+    fn voters(&self, at: usize) -> Vec<Member> {
+        self.replicas[at]
+            .node
+            .as_ref()
+            .map_or(Vec::new(), |node| node.members().voters.clone())
+    }
+
+    /// Whether a disk may be lost now: every voter has its disk and no change is in progress.
+    pub fn may_lose_disk(&self) -> bool {
+        let members = &self.oracle.members.1;
+        self.operator.task.is_none() && !members.is_joint() && members.voters.len() >= 3
+    }
+}
+
+/// Interval between the operator's actions.
+pub const PERIOD: u64 = 150 * MS;
--- /dev/null
+++ b/crates/quorum/tests/net/oracle.rs
@@ -0,0 +1,104 @@
+use {
+    super::{Machine, register::Record},
+    quorum::{Entry, Member, Members, Payload, Stable},
+    std::collections::{BTreeMap, HashMap, HashSet},
+};
+
+/// What all replicas and clients together have shown so far.
+#[derive(Default)]
+pub struct Oracle {
+    /// Every entry applied anywhere.
+    pub log: BTreeMap<u64, Entry>,
+    /// Index of each applied command.
+    pub commands: HashMap<u64, u64>,
+    pub leaders: HashMap<u64, Member>,
+    /// Commands whose proposers were told that they were not run.
+    pub refused: HashSet<u64>,
+    /// Highest index that an answer to a client has shown.
+    pub shown: u64,
+    pub history: Vec<Record>,
+    /// Latest applied member list and its index.
+    pub members: (u64, Members),
+}
+
+impl Oracle {
+    pub fn applied(&mut self, entry: &Entry, machine: &Machine) -> Result<(), String> {
+        if entry.index != machine.applied + 1 {
+            return Err(format!("applied {} after {}", entry.index, machine.applied));
+        }
+        if let Some(known) = self.log.get(&entry.index) {
+            if known != entry {
+                return Err(format!("applied logs differ: {known:?} and {entry:?}"));
+            }
+            return Ok(());
+        }
+        self.log.insert(entry.index, entry.clone());
+        match &entry.payload {
+            Payload::Command(command) => {
+                let mut fresh = Machine::default();
+                fresh.apply(entry);
+                let new = fresh.commands[0];
+                if let Some(first) = self.commands.insert(new, entry.index) {
+                    return Err(format!(
+                        "command {new} {command:?} applied twice, first at {first}"
+                    ));
+                }
+                if self.refused.contains(&new) {
+                    return Err(format!(
+                        "command {new} was reported as not run and was applied"
+                    ));
+                }
+            }
+            Payload::Members(members) if entry.index > self.members.0 => {
+                self.members = (entry.index, members.clone());
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+
+    /// A restored or reloaded state must be the result of the agreed log.
+    pub fn loaded(&self, machine: &Machine) -> Result<(), String> {
+        let mut expected: Vec<_> = self
+            .commands
+            .iter()
+            .filter(|(_, index)| **index <= machine.applied)
+            .collect();
+        expected.sort_unstable_by_key(|(_, index)| **index);
+        let same = expected
+            .iter()
+            .map(|(new, _)| **new)
+            .eq(machine.commands.iter().copied());
+        if same {
+            Ok(())
+        } else {
+            Err(format!("state at {} differs", machine.applied))
+        }
+    }
+
+    pub fn leads(&mut self, term: u64, member: Member) -> Result<(), String> {
+        let first = *self.leaders.entry(term).or_insert(member);
+        if first == member {
+            return Ok(());
+        }
+        Err(format!(
+            "two leaders in term {term}: {first:?} and {member:?}"
+        ))
+    }
+
+    pub fn elections(&self) -> usize {
+        self.leaders.len()
+    }
+
+    /// A new voter must hold everything that was committed when its promotion was proposed.
+    pub fn promoted(&self, disk: &Stable, committed: u64) -> Result<(), String> {
+        let covered = disk.snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
+        let held = |(index, entry): (&u64, &Entry)| {
+            *index <= covered || disk.entries.iter().any(|stored| stored == entry)
+        };
+        match self.log.range(..=committed).find(|known| !held(*known)) {
+            Some((index, _)) => Err(format!("promoted without entry {index} of {committed}")),
+            None => Ok(()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/quorum/tests/net/register.rs
@@ -0,0 +1,91 @@
+//! Linearizability of a compare-and-set register whose written values are unique.
+//!
+//! Unique values fix the order of the writes, so the earliest possible point of each operation can be
+//! computed in one pass; an operation whose earliest point lies after its end is a violation.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+/// One operation of a client, with the times of its call and its answer.
+#[derive(Clone, Copy, Debug)]
+pub struct Record {
+    pub start: u64,
+    /// `u64::MAX` if the outcome is unknown.
+    pub end: u64,
+    pub action: Action,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub enum Action {
+    /// Changed the value from `expected` to `new`.
+    Write { expected: u64, new: u64 },
+    /// Found a value: a read, or a compare-and-set that failed.
+    Found { value: u64 },
+}
+
+/// Checks a history that starts with the value 0.
+pub fn check(history: &[Record]) -> Result<(), String> {
+    let mut writes: HashMap<u64, (u64, &Record)> = HashMap::new();
+    let mut reads: HashMap<u64, Vec<&Record>> = HashMap::new();
+    let mut seen: Vec<u64> = Vec::new();
+    for record in history {
+        match record.action {
+            Action::Write { expected, new } => {
+                writes.insert(new, (expected, record));
+                if record.end != u64::MAX {
+                    seen.push(new);
+                }
+            }
+            Action::Found { value } => {
+                reads.entry(value).or_default().push(record);
+                seen.push(value);
+            }
+        }
+    }
+    // Writes without an answer count only if something depends on them.
+    let mut next: BTreeMap<u64, u64> = BTreeMap::new();
+    let mut needed = HashSet::from([0]);
+    while let Some(value) = seen.pop() {
+        if needed.insert(value) {
+            let (expected, _) = writes
+                .get(&value)
+                .ok_or_else(|| format!("value {value} was never written"))?;
+            if let Some(other) = next.insert(*expected, value) {
+                return Err(format!("{other} and {value} both replaced {expected}"));
+            }
+            seen.push(*expected);
+        }
+    }
+    let (mut value, mut point, mut reached) = (0, 0, 1);
+    loop {
+        for record in reads.get(&value).into_iter().flatten() {
+            place(&mut point.clone(), record)?;
+        }
+        let last = reads
+            .get(&value)
+            .into_iter()
+            .flatten()
+            .map(|record| record.start)
+            .max();
+        point = point.max(last.unwrap_or(0));
+        let Some(following) = next.get(&value) else {
+            break;
+        };
+        place(&mut point, writes[following].1)?;
+        value = *following;
+        reached += 1;
+    }
+    if reached == needed.len() {
+        Ok(())
+    } else {
+        Err("values depend on each other".to_owned())
+    }
+}
+
+/// Moves `point` to the earliest time at which the operation can take effect.
+fn place(point: &mut u64, record: &Record) -> Result<(), String> {
+    *point = (*point).max(record.start);
+    if *point > record.end {
+        return Err(format!("{record:?} must take effect at {point} or later"));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/quorum/tests/net/replica.rs
@@ -0,0 +1,75 @@
+use {
+    super::{Disk, Machine},
+    quorum::{Fault, Message, Node, Settings},
+    rand::{RngExt, rngs::StdRng},
+    std::{
+        collections::VecDeque,
+        time::{Duration, Instant},
+    },
+};
+
+/// A process with its disk and its clock.
+pub struct Replica {
+    pub id: u64,
+    pub disk: Disk,
+    /// `None` while crashed.
+    pub node: Option<Node>,
+    pub machine: Machine,
+    /// Number of the process, to drop events of an earlier one.
+    pub epoch: u64,
+    /// Virtual time until which the process is paused.
+    pub paused: u64,
+    /// Time one disk operation takes, at most, in microseconds.
+    pub latency: u64,
+    /// Messages that wait for a disk operation.
+    pub held: VecDeque<(u64, u64, Message)>,
+    base: Instant,
+    rate: f64,
+}
+
+impl Replica {
+    pub fn new(id: u64, disk: Disk, base: Instant) -> Replica {
+        Replica {
+            id,
+            disk,
+            node: None,
+            machine: Machine::default(),
+            epoch: 0,
+            paused: 0,
+            latency: 2_000,
+            held: VecDeque::new(),
+            base,
+            rate: 1.0,
+        }
+    }
+
+    /// Starts the process; its clock runs up to 4% fast or slow.
+    pub fn start(&mut self, settings: Settings, fault: Option<Fault>, rng: &mut StdRng, time: u64) {
+        self.rate = rng.random_range(0.96..=1.04);
+        let stable = self.disk.stable.clone();
+        self.machine = Machine::load(stable.snapshot.as_ref());
+        let mut node = Node::new(self.id, settings, stable, rng.random(), self.now(time));
+        node.plant(fault);
+        self.node = Some(node);
+    }
+
+    /// Kills the process; of the queued disk operations the first `kept` survive.
+    pub fn crash(&mut self, kept: usize) {
+        self.node = None;
+        self.epoch += 1;
+        self.paused = 0;
+        self.held.clear();
+        self.disk.crash(kept);
+    }
+
+    /// The local clock.
+    pub fn now(&self, time: u64) -> Instant {
+        self.base + Duration::from_micros((time as f64 * self.rate) as u64)
+    }
+
+    pub fn leads(&self) -> bool {
+        self.node
+            .as_ref()
+            .is_some_and(|node| node.leader() == Some(self.id))
+    }
+}
