--- a/crates/gang/src/event.rs
+++ b/crates/gang/src/event.rs
@@ -59,7 +59,8 @@
         /// Name of the worker.
         worker: String,
     },
-    /// The last proposal for a job was not committed.
+    /// The last proposal for a job was not committed and the job is as it was. A proposal that
+    /// became void because the job changed first is not reported; the change is.
     Rejected {
         /// The job.
         job: u64,
--- a/crates/gang/src/fleet/fleet.rs
+++ b/crates/gang/src/fleet/fleet.rs
@@ -20,8 +20,10 @@
     pub live: bool,
     /// Whether an operator drains it.
     pub drained: bool,
-    /// When it was quarantined, if it is.
+    /// When it was quarantined or last failed a probe, if it is in quarantine.
     pub quarantined: Option<Instant>,
+    /// Whether a probe was asked for and is not answered.
+    pub probing: bool,
     /// Index of its data centre in the fleet.
     pub centre: usize,
 }
@@ -31,6 +33,14 @@
     pub fn in_service(&self) -> bool {
         self.known && self.live && !self.drained && self.quarantined.is_none()
     }
+
+    /// Takes the answer to a probe into account.
+    pub fn probed(&mut self, passed: bool, now: Instant) {
+        self.probing = false;
+        if self.quarantined.is_some() {
+            self.quarantined = (!passed).then_some(now);
+        }
+    }
 }
 
 /// Every worker ever seen, by site and rack.
@@ -68,6 +78,7 @@
             live: false,
             drained: false,
             quarantined: None,
+            probing: false,
             centre: usize::MAX,
         });
         (self.machines.len() - 1) as u32
--- a/crates/gang/src/lib.rs
+++ b/crates/gang/src/lib.rs
@@ -5,19 +5,23 @@
 //! committed ([`Event::Changed`]) or refused ([`Event::Rejected`]). Nothing here reads a clock,
 //! opens a socket or a file, or starts a thread.
 
-#![allow(dead_code, unused_imports)]
-
 mod decision;
 mod event;
+mod fault;
 mod fleet;
+mod proof;
+mod reclaim;
 mod record;
 mod scheduler;
 mod settings;
 mod shortfall;
 
+#[cfg(feature = "faults")]
+pub use fault::Fault;
 pub use {
     decision::{Decision, Reason},
     event::Event,
+    proof::Proved,
     scheduler::Scheduler,
     settings::Settings,
     shortfall::{Cause, Shortfall},
--- /dev/null
+++ b/crates/gang/src/reclaim/plan.rs
@@ -0,0 +1,263 @@
+use {
+    super::{Cost, Holders},
+    crate::fleet::{Filter, Fleet, Mask, Part, Room, Space},
+    model::shape::{Adjacency, Shape},
+    std::collections::BTreeSet,
+};
+
+/// A place for a gang and the jobs that must go first.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// The place.
+    pub parts: Vec<Part>,
+    /// The jobs that hold it now.
+    pub holders: BTreeSet<u64>,
+    /// What it costs.
+    pub cost: Cost,
+}
+
+/// A search for the cheapest place among free room and holders.
+pub struct Search<'a> {
+    /// The workers.
+    pub fleet: &'a Fleet,
+    /// What is free without touching a holder.
+    pub free: &'a Room,
+    /// Whose places may be used.
+    pub holders: &'a Holders,
+    /// Whether costs are waits, of which the longest counts, instead of losses that add up.
+    pub waits: bool,
+}
+
+/// The cheapest place of one task on one machine.
+#[derive(Clone, Debug)]
+struct Window {
+    cost: Cost,
+    mask: Mask,
+    holders: Vec<u64>,
+}
+
+/// Work in progress on one worker, rack or data centre.
+struct Domain {
+    /// What is free, with the chosen holders gone and the chosen parts taken.
+    spaces: Vec<(u32, Space)>,
+    windows: Vec<Option<Option<Window>>>,
+    plan: Plan,
+}
+
+impl Search<'_> {
+    /// Plans for every worker, rack or data centre that can hold the gang, cheapest first.
+    pub fn plans(&self, shape: &Shape, filter: Filter) -> Vec<Plan> {
+        let mut plans = Vec::new();
+        let allowed = |machine: &&u32| !filter.avoid.contains(machine);
+        for centre in (0..filter.centres.len()).filter(|centre| filter.centres[*centre]) {
+            let racks = self.fleet.racks_of(centre);
+            if shape.tasks == 1 || shape.adjacency == Adjacency::Worker {
+                let machines = racks.flatten().filter(allowed);
+                plans.extend(machines.filter_map(|machine| self.plan(shape, &[*machine])));
+            } else if shape.adjacency == Adjacency::Rack {
+                for rack in racks {
+                    let rack: Vec<_> = rack.iter().filter(allowed).copied().collect();
+                    plans.extend(self.plan(shape, &rack));
+                }
+            } else {
+                let machines: Vec<_> = racks.flatten().filter(allowed).copied().collect();
+                plans.extend(self.plan(shape, &machines));
+            }
+        }
+        plans.sort_by_key(|plan| plan.cost);
+        plans
+    }
+
+    /// The cheapest place found on `machines`, one task after the other.
+    fn plan(&self, shape: &Shape, machines: &[u32]) -> Option<Plan> {
+        let mut domain = Domain {
+            spaces: machines
+                .iter()
+                .map(|m| (*m, self.free.0[*m as usize]))
+                .collect(),
+            windows: vec![None; machines.len()],
+            plan: Plan {
+                parts: Vec::new(),
+                holders: BTreeSet::new(),
+                cost: Cost::default(),
+            },
+        };
+        if !self.may_fit(shape, &domain) {
+            return None;
+        }
+        for _ in 0..shape.tasks {
+            let mut best: Option<(Cost, usize)> = None;
+            for index in 0..domain.spaces.len() {
+                if domain.windows[index].is_none() {
+                    let window = self.window(shape, &domain, index);
+                    domain.windows[index] = Some(window);
+                }
+                if let Some(Some(window)) = &domain.windows[index]
+                    && best.is_none_or(|(least, _)| window.cost < least)
+                {
+                    best = Some((window.cost, index));
+                }
+            }
+            let (_, index) = best?;
+            let window = domain.windows[index].take().flatten()?;
+            self.choose(shape, &mut domain, index, window);
+        }
+        Some(domain.plan)
+    }
+
+    /// A quick bound on the accelerators, to skip full domains.
+    fn may_fit(&self, shape: &Shape, domain: &Domain) -> bool {
+        let mut total = 0;
+        for (machine, space) in &domain.spaces {
+            if space.open {
+                total += space.mask.len();
+                for job in &self.holders.machines[*machine as usize] {
+                    let parts = self.holders.jobs[job].parts.iter();
+                    let here = parts.filter(|part| part.machine == *machine);
+                    total += here.map(|part| part.mask.len()).sum::<u32>();
+                }
+            }
+        }
+        total >= shape.total_accelerators()
+    }
+
+    fn choose(&self, shape: &Shape, domain: &mut Domain, index: usize, window: Window) {
+        let cost = &mut domain.plan.cost;
+        cost.main = match self.waits {
+            true => cost.main.max(window.cost.main),
+            false => cost.main + window.cost.main,
+        };
+        cost.gangs += window.cost.gangs;
+        for job in &window.holders {
+            domain.plan.holders.insert(*job);
+            for part in &self.holders.jobs[job].parts {
+                let at = domain
+                    .spaces
+                    .iter()
+                    .position(|(machine, _)| *machine == part.machine);
+                if let Some(at) = at {
+                    let space = &mut domain.spaces[at].1;
+                    space.mask = space.mask.with(part.mask);
+                    space.cpus += i64::from(part.cpus);
+                    space.memory_mb += i64::from(part.memory_mb);
+                    domain.windows[at] = None;
+                }
+            }
+        }
+        let (machine, space) = &mut domain.spaces[index];
+        space.mask = space.mask.without(window.mask);
+        space.cpus -= i64::from(shape.cpus);
+        space.memory_mb -= i64::from(shape.memory_mb);
+        domain.windows[index] = None;
+        domain.plan.parts.push(Part {
+            machine: *machine,
+            mask: window.mask,
+            cpus: u32::from(shape.cpus),
+            memory_mb: shape.memory_mb,
+        });
+    }
+
+    /// The cheapest run of accelerators for one task on one machine.
+    fn window(&self, shape: &Shape, domain: &Domain, index: usize) -> Option<Window> {
+        let (machine, space) = domain.spaces[index];
+        if !space.open {
+            return None;
+        }
+        let here = &self.holders.machines[machine as usize];
+        let left: Vec<_> = here
+            .iter()
+            .filter(|job| !domain.plan.holders.contains(job))
+            .collect();
+        let mut best: Option<Window> = None;
+        let count = self.fleet.machine(machine).worker.accelerators.min(128);
+        let last = count.checked_sub(shape.accelerators)?;
+        let starts = if shape.accelerators == 0 {
+            0..=0
+        } else {
+            0..=last
+        };
+        for start in starts {
+            let mask = Mask(Mask::full(shape.accelerators).0 << start);
+            let Some(window) = self.holders_of(shape, machine, &space, &left, mask) else {
+                continue;
+            };
+            // Equal costs leave the smaller remainder of free accelerators broken up.
+            if best.as_ref().is_none_or(|best| window.cost < best.cost) {
+                best = Some(window);
+            }
+        }
+        best
+    }
+
+    /// The holders that must go so that one task gets `mask` on `machine`.
+    fn holders_of(
+        &self,
+        shape: &Shape,
+        machine: u32,
+        space: &Space,
+        left: &[&u64],
+        mask: Mask,
+    ) -> Option<Window> {
+        let mut gone = Vec::new();
+        let mut open = *space;
+        let mut remove = |job: u64, open: &mut Space| {
+            gone.push(job);
+            for part in &self.holders.jobs[&job].parts {
+                if part.machine == machine {
+                    open.mask = open.mask.with(part.mask);
+                    open.cpus += i64::from(part.cpus);
+                    open.memory_mb += i64::from(part.memory_mb);
+                }
+            }
+        };
+        for &&job in left {
+            let parts = &self.holders.jobs[&job].parts;
+            if parts
+                .iter()
+                .any(|part| part.machine == machine && part.mask.meets(mask))
+            {
+                remove(job, &mut open);
+            }
+        }
+        if mask.without(open.mask).len() > 0 {
+            return None;
+        }
+        let short = |open: &Space| {
+            (shape.cpus > 0 && open.cpus < i64::from(shape.cpus))
+                || (shape.memory_mb > 0 && open.memory_mb < i64::from(shape.memory_mb))
+        };
+        if short(&open) {
+            let mut others: Vec<_> = left.iter().map(|job| **job).collect();
+            others.sort_by_key(|job| self.holders.jobs[job].cost);
+            for job in others {
+                let parts = &self.holders.jobs[&job].parts;
+                if parts
+                    .iter()
+                    .any(|part| part.machine == machine && part.mask.meets(mask))
+                {
+                    continue;
+                }
+                remove(job, &mut open);
+                if !short(&open) {
+                    break;
+                }
+            }
+            if short(&open) {
+                return None;
+            }
+        }
+        let costs = gone.iter().map(|job| self.holders.jobs[job].cost);
+        Some(Window {
+            cost: Cost {
+                main: if self.waits {
+                    costs.max().unwrap_or(0)
+                } else {
+                    costs.sum()
+                },
+                gangs: gone.len() as u32,
+            },
+            mask,
+            holders: gone,
+        })
+    }
+}
--- a/crates/gang/src/record/mod.rs
+++ b/crates/gang/src/record/mod.rs
@@ -8,6 +8,6 @@
 pub use {
     account::Ledger,
     history::History,
-    queue::{Key, Queue},
+    queue::{Ask, Key, Queue},
     record::{Phase, Record},
 };
--- a/crates/gang/src/record/queue.rs
+++ b/crates/gang/src/record/queue.rs
@@ -1,6 +1,6 @@
 use {
     indexmap::IndexMap,
-    model::{job::Class, shape::Shape},
+    model::{job::Class, place::Place, shape::Shape},
     std::collections::{BTreeMap, BTreeSet},
     std::time::Instant,
 };
@@ -8,32 +8,46 @@
 /// Order in a queue: submission time, then job.
 pub type Key = (u64, u64);
 
-/// Queued jobs by account, class and shape, and jobs that wait for a later attempt.
+/// What decides whether a queued job can be placed, beside its account and class. Jobs that ask for
+/// the same stand in one line, so that the first one speaks for all.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Ask {
+    /// The gang.
+    pub shape: Shape,
+    /// Where it shall run.
+    pub place: Option<Place>,
+    /// Whether it can be stopped again once it runs.
+    pub stoppable: bool,
+    /// Workers on which it failed.
+    pub avoid: Vec<u32>,
+}
+
+/// Queued jobs by account, class and ask, and jobs that wait for a later attempt.
 #[derive(Clone, Debug, Default)]
 pub struct Queue {
-    lines: BTreeMap<(u32, Class), IndexMap<Shape, BTreeSet<Key>>>,
+    lines: BTreeMap<(u32, Class), IndexMap<Ask, BTreeSet<Key>>>,
     waiting: BTreeSet<(Instant, u64)>,
 }
 
 impl Queue {
     /// Adds a job.
-    pub fn insert(&mut self, account: u32, class: Class, shape: &Shape, key: Key) {
+    pub fn insert(&mut self, account: u32, class: Class, ask: &Ask, key: Key) {
         let line = self.lines.entry((account, class)).or_default();
-        match line.get_mut(shape) {
+        match line.get_mut(ask) {
             Some(jobs) => jobs.insert(key),
-            None => line.entry(shape.clone()).or_default().insert(key),
+            None => line.entry(ask.clone()).or_default().insert(key),
         };
     }
 
     /// Removes a job.
-    pub fn remove(&mut self, account: u32, class: Class, shape: &Shape, key: Key) {
+    pub fn remove(&mut self, account: u32, class: Class, ask: &Ask, key: Key) {
         let Some(line) = self.lines.get_mut(&(account, class)) else {
             return;
         };
-        if let Some(jobs) = line.get_mut(shape) {
+        if let Some(jobs) = line.get_mut(ask) {
             jobs.remove(&key);
             if jobs.is_empty() {
-                line.swap_remove(shape);
+                line.swap_remove(ask);
             }
         }
         if line.is_empty() {
@@ -41,17 +55,17 @@
         }
     }
 
-    /// The first job of every account, class and shape.
-    pub fn heads(&self) -> impl Iterator<Item = (u32, Class, &Shape, Key)> {
+    /// The first job of every account, class and ask.
+    pub fn heads(&self) -> impl Iterator<Item = (u32, Class, Key)> {
         self.lines.iter().flat_map(|((account, class), line)| {
-            line.iter()
-                .filter_map(|(shape, jobs)| Some((*account, *class, shape, *jobs.first()?)))
+            line.values()
+                .filter_map(|jobs| Some((*account, *class, *jobs.first()?)))
         })
     }
 
-    /// The first job after `key` of the same account, class and shape.
-    pub fn after(&self, account: u32, class: Class, shape: &Shape, key: Key) -> Option<Key> {
-        let jobs = self.lines.get(&(account, class))?.get(shape)?;
+    /// The first job after `key` of the same account, class and ask.
+    pub fn after(&self, account: u32, class: Class, ask: &Ask, key: Key) -> Option<Key> {
+        let jobs = self.lines.get(&(account, class))?.get(ask)?;
         jobs.range((key.0, key.1 + 1)..).next().copied()
     }
 
--- a/crates/gang/src/record/record.rs
+++ b/crates/gang/src/record/record.rs
@@ -1,4 +1,5 @@
 use {
+    super::Ask,
     crate::{Reason, fleet::Part},
     model::{
         job::{Class, Spec, State},
@@ -50,6 +51,8 @@
     pub cancelled: bool,
     /// Whether the held place is beyond the guarantees of the account.
     pub borrowed: bool,
+    /// Name of the guarantee under which its place was proposed.
+    pub guarantee: Option<Box<str>>,
     /// Standing between scheduler and controller.
     pub phase: Phase,
     /// What it holds, by a proposal or by a committed attempt.
@@ -87,6 +90,7 @@
             starts: 0,
             cancelled: false,
             borrowed: false,
+            guarantee: None,
             phase: Phase::Queued,
             parts: Vec::new(),
             placed: None,
@@ -98,6 +102,16 @@
         }
     }
 
+    /// What decides whether it can be placed.
+    pub fn ask(&self) -> Ask {
+        Ask {
+            shape: self.shape.clone(),
+            place: self.place.clone(),
+            stoppable: self.is_stoppable(),
+            avoid: self.failed_on.clone(),
+        }
+    }
+
     /// Accelerators of the gang.
     pub fn accelerators(&self) -> u32 {
         self.shape.total_accelerators()
--- /dev/null
+++ b/crates/gang/src/scheduler/compact.rs
@@ -0,0 +1,122 @@
+use {
+    super::{Scheduler, Turn},
+    crate::{
+        Reason,
+        fleet::{Filter, pack},
+        reclaim::{Booking, Kind, Search},
+    },
+};
+
+/// Seconds that a gang loses by a checkpoint, a stop and a new start, beside the work since its last
+/// checkpoint.
+const MOVE_SECONDS: u64 = 10;
+
+impl Scheduler {
+    /// Moves stoppable work by checkpoint when that frees a place for the largest queued gang and
+    /// costs less accelerator time than the gang has waited.
+    pub(crate) fn compact(&mut self, turn: &mut Turn) {
+        let elapsed = self
+            .compacted
+            .map(|last| turn.now.saturating_duration_since(last));
+        if elapsed.is_some_and(|elapsed| elapsed < self.settings.compact_every) {
+            return;
+        }
+        let largest = turn
+            .blocked
+            .iter()
+            .filter(|id| self.bookings.get(id).is_none_or(Booking::is_soft))
+            .filter_map(|id| Some((self.jobs.get(id)?.accelerators(), *id)))
+            .max_by_key(|(size, id)| (*size, std::cmp::Reverse(*id)));
+        let Some((size, id)) = largest else {
+            return;
+        };
+        let Some(record) = self.jobs.get(&id).filter(|_| self.within_quota(id)) else {
+            return;
+        };
+        let centres = self.open_centres(record, turn, true);
+        let mut free = self.free_of(turn);
+        self.hold_soft(id, &mut free);
+        let total: u32 = free
+            .0
+            .iter()
+            .zip(self.fleet.machines())
+            .filter(|(space, machine)| {
+                space.open && centres.get(machine.centre).is_some_and(|open| *open)
+            })
+            .map(|(space, _)| space.mask.len())
+            .sum();
+        if total < size {
+            return;
+        }
+        let holders = self.holders(|job, other| {
+            other.borrowed && other.is_stoppable() && !self.is_reserved(id, job)
+        });
+        let search = Search {
+            fleet: &self.fleet,
+            free: &free,
+            holders: &holders,
+            waits: false,
+        };
+        let avoid = self.avoided(record, &record.shape, &centres);
+        let filter = Filter {
+            centres: &centres,
+            avoid,
+        };
+        let plans = search.plans(&record.shape, filter);
+        let gain = u64::from(size) * self.waited_ms(record, turn.now) / 1000;
+        for plan in plans {
+            let moved: u32 = plan
+                .holders
+                .iter()
+                .filter_map(|job| self.jobs.get(job))
+                .map(|other| other.accelerators())
+                .sum();
+            if plan.cost.main + u64::from(moved) * MOVE_SECONDS > gain {
+                continue;
+            }
+            // Every moved gang must fit elsewhere at once.
+            let mut room = turn.view.clone();
+            plan.parts.iter().for_each(|part| room.hold(part));
+            let fits = plan.holders.iter().all(|job| {
+                let Some(other) = self.jobs.get(job) else {
+                    return false;
+                };
+                let centres = self.open_centres(other, turn, true);
+                let filter = Filter {
+                    centres: &centres,
+                    avoid: &[],
+                };
+                match pack(&self.fleet, &room, &other.shape, filter) {
+                    Some(parts) => {
+                        parts.iter().for_each(|part| room.hold(part));
+                        true
+                    }
+                    None => false,
+                }
+            });
+            if !fits {
+                continue;
+            }
+            let stoppable = self
+                .jobs
+                .get(&id)
+                .is_some_and(|record| record.is_stoppable());
+            if !stoppable && !self.admit(id, None, &plan.parts) {
+                continue;
+            }
+            self.compacted = Some(turn.now);
+            for victim in &plan.holders {
+                self.ask(*victim, Reason::Compaction { job: id }, turn);
+            }
+            plan.parts.iter().for_each(|part| turn.view.hold(part));
+            let booking = Booking {
+                kind: Kind::Firm,
+                parts: plan.parts,
+                victims: plan.holders.into_iter().collect(),
+                since: turn.now,
+            };
+            self.bookings.insert(id, booking);
+            return;
+        }
+    }
+}
--- a/crates/gang/src/scheduler/decide.rs
+++ b/crates/gang/src/scheduler/decide.rs
@@ -1,97 +1,262 @@
 use {
-    super::Scheduler,
+    super::{Scheduler, Turn},
     crate::{
-        Decision, Reason,
-        fleet::{Filter, Room, pack},
-        record::Phase,
+        Decision,
+        fault::Fault,
+        fleet::{Filter, Room},
+        reclaim::{Kind, Search},
+        record::{Key, Record},
+    },
+    model::job::Class,
+    std::{
+        cmp::{Ordering, Reverse},
+        collections::BinaryHeap,
+        time::Instant,
     },
-    model::job::State,
-    std::time::Instant,
 };
 
+/// Seconds of the present use of accelerators that count into the share of an account, beside what
+/// was served. Without it a burst would hand the whole cluster to the account that was served least.
+const SHARE_AHEAD_SECONDS: f64 = 60.0;
+
+/// The first job of a queue: rank of its class, share of its account, submission and job.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Head {
+    rank: u8,
+    share: f64,
+    key: Key,
+}
+
+impl Eq for Head {}
+
+impl PartialOrd for Head {
+    fn partial_cmp(&self, other: &Head) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Head {
+    fn cmp(&self, other: &Head) -> Ordering {
+        let by_share = self.share.total_cmp(&other.share);
+        self.rank
+            .cmp(&other.rank)
+            .then(by_share)
+            .then(self.key.cmp(&other.key))
+    }
+}
+
 impl Scheduler {
     /// Returns the proposals for the present state; call it again while it returns any.
     pub fn decide(&mut self, now: Instant) -> Vec<Decision> {
-        let mut decisions = std::mem::take(&mut self.pending);
         while let Some(id) = self.queue.due(now) {
             self.enqueue(id);
         }
-        let mut heads: Vec<_> = self
-            .queue
-            .heads()
-            .map(|(account, class, _, key)| (class, self.ledgers[account as usize].served, key))
-            .collect();
-        heads.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
-        let mut view = self.view();
-        for (_, _, key) in heads {
-            let mut next = Some(key);
-            while let Some(key) = next {
-                if decisions.len() >= self.settings.tries {
-                    return decisions;
-                }
-                let Some(record) = self.jobs.get(&key.1) else {
-                    break;
-                };
-                let (account, class, shape) = (record.account, record.class, record.shape.clone());
-                match self.try_place(key.1, &mut view, now) {
-                    Some(decision) => decisions.push(decision),
-                    None => break,
-                }
-                next = self.queue.after(account, class, &shape, key);
+        let mut out = Vec::new();
+        self.withdraw(&mut out);
+        self.judge(now, &mut out);
+        self.refresh(&mut out);
+        let mut turn = Turn {
+            now,
+            view: self.view(),
+            closed: self.closed(),
+            blocked: Vec::new(),
+            out,
+        };
+        self.progress(&mut turn);
+        self.claims(&mut turn);
+        self.serve_queues(&mut turn);
+        self.reserve(&mut turn);
+        self.compact(&mut turn);
+        turn.out
+    }
+
+    /// Places the first jobs of the queues, by class, then by share of their accounts.
+    fn serve_queues(&mut self, turn: &mut Turn) {
+        let mut heap = BinaryHeap::new();
+        for (.., key) in self.queue.heads() {
+            if let Some(record) = self.jobs.get(&key.1) {
+                heap.push(Reverse(self.head(record, key, turn.now)));
+            }
+        }
+        while let Some(Reverse(head)) = heap.pop() {
+            if turn.out.len() >= self.settings.tries {
+                return;
+            }
+            let Some(record) = self.jobs.get(&head.key.1) else {
+                continue;
+            };
+            let present = self.head(record, head.key, turn.now);
+            if present > head {
+                heap.push(Reverse(present));
+                continue;
+            }
+            let (account, class, ask) = (record.account, record.class, record.ask());
+            let booked = self
+                .bookings
+                .get(&head.key.1)
+                .is_some_and(|booking| !booking.is_soft());
+            let done = booked || self.give_up(head.key.1, turn) || self.serve_one(head, turn);
+            if !done {
+                turn.blocked.push(head.key.1);
+                continue;
+            }
+            if let Some(key) = self.queue.after(account, class, &ask, head.key)
+                && let Some(record) = self.jobs.get(&key.1)
+            {
+                heap.push(Reverse(self.head(record, key, turn.now)));
             }
         }
-        decisions
     }
 
-    fn try_place(&mut self, id: u64, view: &mut Room, now: Instant) -> Option<Decision> {
-        let record = self.jobs.get(&id)?;
-        let name = self.names.get_index(record.account as usize)?;
-        let Some(account) = self.config.accounts.get(name) else {
-            let reason = Reason::AccountEnded {
-                account: name.clone(),
-            };
-            return self.fail(id, reason);
+    fn head(&self, record: &Record, key: Key, now: Instant) -> Head {
+        let ledger = &self.ledgers[record.account as usize];
+        let weight = self
+            .account(record.account)
+            .map_or(1, |account| account.weight.max(1));
+        let ahead = f64::from(ledger.held) * SHARE_AHEAD_SECONDS / f64::from(weight);
+        Head {
+            rank: self.rank(record, now),
+            share: ledger.served + ahead,
+            key,
+        }
+    }
+
+    /// Order of service of a class; a sweep that has waited long enough is served as standard work.
+    pub(crate) fn rank(&self, record: &Record, now: Instant) -> u8 {
+        match record.class {
+            Class::Urgent => 0,
+            Class::Standard => 1,
+            Class::Sweep
+                if self.waited_ms(record, now) >= self.settings.sweep_age.as_millis() as u64 =>
+            {
+                1
+            }
+            Class::Sweep => 2,
+        }
+    }
+
+    /// Time since the submission of a job.
+    pub(crate) fn waited_ms(&self, record: &Record, now: Instant) -> u64 {
+        self.wall_at(now)
+            .unwrap_or(0)
+            .saturating_sub(record.submitted_ms)
+    }
+
+    fn serve_one(&mut self, head: Head, turn: &mut Turn) -> bool {
+        let id = head.key.1;
+        let Some(record) = self.jobs.get(&id) else {
+            return false;
+        };
+        let tried = (record.account, record.class, record.ask());
+        if self.tried.get(&tried) == Some(&self.epoch) {
+            return false;
+        }
+        let done =
+            self.within_quota(id) && (self.borrow(id, turn) || self.precede(id, head.rank, turn));
+        if !done {
+            if self.tried.len() > MOST_TRIED {
+                self.tried.clear();
+            }
+            self.tried.insert(tried, self.epoch);
+        }
+        done
+    }
+
+    /// Places a job on free room, beyond the guarantees of its account.
+    fn borrow(&mut self, id: u64, turn: &mut Turn) -> bool {
+        let Some(record) = self.jobs.get(&id) else {
+            return false;
         };
-        if record.starts >= record.bound {
-            let reason = Reason::Attempts {
-                starts: record.starts,
-                bound: record.bound,
+        let centres = self.open_centres(record, turn, true);
+        if record.is_stoppable() || self.planted(Fault::BackfillHard) {
+            let hard = !record.is_stoppable();
+            return match self.find(&turn.view, record, &record.shape, &centres) {
+                Some(parts) if !hard || self.admit(id, None, &parts) => {
+                    self.place(id, parts, None, turn)
+                }
+                _ => false,
             };
-            return self.fail(id, reason);
         }
-        let held = self.ledgers[record.account as usize].held;
-        if account
-            .quota
-            .is_some_and(|quota| held + record.accelerators() > quota)
-        {
-            return None;
+        // Work that cannot be stopped keeps clear of the proof where it can.
+        let room = self.view_of(id, turn);
+        let mut clear = room.clone();
+        for set in self.proof.sets.iter().filter(|set| set.job.is_none()) {
+            set.parts.iter().for_each(|part| clear.hold(part));
         }
-        let centres = self.centres(name, record.place.as_ref());
+        for room in [clear, room] {
+            let Some(record) = self.jobs.get(&id) else {
+                return false;
+            };
+            if let Some(parts) = self.find(&room, record, &record.shape, &centres)
+                && self.admit(id, None, &parts)
+            {
+                return self.place(id, parts, None, turn);
+            }
+        }
+        false
+    }
+
+    /// Lets urgent and standard work go before running sweeps that may be stopped.
+    fn precede(&mut self, id: u64, rank: u8, turn: &mut Turn) -> bool {
+        let Some(record) = self.jobs.get(&id).filter(|_| rank < 2) else {
+            return false;
+        };
+        let now = turn.now;
+        let holders = self.holders(|job, other| {
+            other.class == Class::Sweep
+                && other.borrowed
+                && other.is_stoppable()
+                && self.rank(other, now) > rank
+                && !self.is_reserved(id, job)
+        });
+        if holders.jobs.is_empty() {
+            return false;
+        }
+        let centres = self.open_centres(record, turn, true);
+        let mut free = self.free_of(turn);
+        self.hold_soft(id, &mut free);
+        let search = Search {
+            fleet: &self.fleet,
+            free: &free,
+            holders: &holders,
+            waits: false,
+        };
+        let avoid = self.avoided(record, &record.shape, &centres);
         let filter = Filter {
             centres: &centres,
-            avoid: &record.failed_on,
+            avoid,
+        };
+        let Some(plan) = search.plans(&record.shape, filter).into_iter().next() else {
+            return false;
         };
-        let parts = pack(&self.fleet, view, &record.shape, filter)?;
-        for part in &parts {
-            view.hold(part);
+        if !record.is_stoppable() && !self.admit(id, None, &plan.parts) {
+            return false;
         }
-        let members = self.members(&parts);
-        self.dequeue(id);
-        self.hold(id, parts, Phase::Proposed, now);
-        let record = self.jobs.get_mut(&id)?;
-        record.borrowed = true;
-        Some(Decision::Place {
-            job: id,
-            members,
-            borrowed: true,
-        })
+        self.book(id, Kind::Firm, plan.parts, &plan.holders, turn);
+        true
     }
 
-    fn fail(&mut self, id: u64, reason: Reason) -> Option<Decision> {
-        self.dequeue(id);
-        let record = self.jobs.get_mut(&id)?;
-        debug_assert_eq!(record.state, State::Queued);
-        record.phase = Phase::Failing;
-        Some(Decision::Fail { job: id, reason })
+    /// The view for work that cannot be stopped: without the places reserved for others.
+    pub(crate) fn view_of(&self, id: u64, turn: &Turn) -> Room {
+        let mut room = turn.view.clone();
+        self.hold_soft(id, &mut room);
+        room
+    }
+
+    /// Takes the places reserved for other jobs out of `room`.
+    pub(crate) fn hold_soft(&self, id: u64, room: &mut Room) {
+        for (other, booking) in &self.bookings {
+            if *other != id && booking.is_soft() {
+                for part in &booking.parts {
+                    let space = &mut room.0[part.machine as usize];
+                    space.mask = space.mask.without(part.mask);
+                    space.cpus -= i64::from(part.cpus);
+                    space.memory_mb -= i64::from(part.memory_mb);
+                }
+            }
+        }
     }
 }
+
+/// Asks remembered as not fitting; bounds the memory of bursts with many different shapes.
+const MOST_TRIED: usize = 16_384;
--- a/crates/gang/src/scheduler/explain.rs
+++ b/crates/gang/src/scheduler/explain.rs
@@ -2,88 +2,180 @@
     super::Scheduler,
     crate::{
         fleet::{Filter, pack},
-        record::Phase,
+        reclaim::{Booking, Kind},
+        record::{Phase, Record},
     },
     model::{
+        account::Account,
         job::State,
         shape::{Adjacency, Shape},
     },
 };
 
 impl Scheduler {
-    /// Says in one line what a job waits for, with the blocking rule and what would unblock it; none
-    /// for a job that has ended or was never seen.
+    /// Says in one line what a job waits for: the blocking rule, then what would unblock it. None for
+    /// a job that has ended or was never seen.
     pub fn explain(&self, job: u64) -> Option<String> {
         let record = self.jobs.get(&job)?;
-        let name = self.names.get_index(record.account as usize)?;
+        if let Some(reason) = record
+            .asked
+            .as_ref()
+            .filter(|_| record.state != State::Stopping)
+        {
+            return Some(format!(
+                "is asked to stop: {reason}; queued again when it has stopped"
+            ));
+        }
         if record.cancelled {
             return Some("cancelled; ends as soon as every task has stopped".into());
         }
-        match record.state {
-            State::Queued => {}
+        Some(match record.state {
+            State::Queued => match record.phase {
+                Phase::Proposed => "a place was proposed; waits for the commit".into(),
+                Phase::Failing => "its end was proposed; waits for the commit".into(),
+                Phase::Waiting(_) => format!(
+                    "backoff: attempt {} of {} did not succeed; tried again by itself",
+                    record.starts, record.bound
+                ),
+                _ => self.explain_queued(job, record),
+            },
             State::Placed | State::Starting => {
-                return Some("has a place; starts as soon as every worker has answered".into());
+                "has a place; starts as soon as every worker has answered".into()
             }
             State::Stopping => {
-                return Some(
-                    "is being stopped; queued again or ended when every task has stopped".into(),
-                );
+                "is being stopped; queued again or ended when every task has stopped".into()
             }
-            _ => return Some("runs; nothing to wait for".into()),
-        }
-        match record.phase {
-            Phase::Proposed => return Some("a place was proposed; waits for the commit".into()),
-            Phase::Failing => return Some("its end was proposed; waits for the commit".into()),
-            Phase::Waiting(_) => {
-                return Some(format!(
-                    "backoff after attempt {} of {}; tried again by itself",
-                    record.starts, record.bound
-                ));
+            _ if record.straggler => {
+                "runs far longer than usual for its account; nothing to wait for".into()
             }
-            _ => {}
-        }
+            _ => "runs; nothing to wait for".into(),
+        })
+    }
+
+    fn explain_queued(&self, job: u64, record: &Record) -> String {
+        let name = &self.names[record.account as usize];
         let Some(account) = self.config.accounts.get(name) else {
-            return Some(format!(
-                "client account `{name}` is not in the configuration; add it"
-            ));
+            return format!("account: client account `{name}` is not in the configuration; add it");
         };
         let centres = self.centres(name, record.place.as_ref());
         if let Err(reason) = self.can_hold(&centres, &record.shape) {
-            return Some(reason);
+            return reason;
+        }
+        if let Some(booking) = self.bookings.get(&job) {
+            return self.explain_booking(booking);
         }
+        self.explain_quota(job, record, name, account)
+            .or_else(|| self.explain_owed(&centres))
+            .unwrap_or_else(|| self.explain_room(job, record, &centres))
+    }
+
+    fn explain_booking(&self, booking: &Booking) -> String {
+        let left: Vec<_> = booking
+            .victims
+            .iter()
+            .filter(|victim| {
+                self.jobs
+                    .get(victim)
+                    .is_some_and(|record| !record.parts.is_empty())
+            })
+            .map(u64::to_string)
+            .collect();
+        let first = &self.fleet.machine(booking.parts[0].machine).worker;
+        let at = format!("{} rack {}", first.site, first.rack);
+        match &booking.kind {
+            Kind::Claim(name) => format!(
+                "claim: guarantee `{name}` is claimed at {at}; starts when jobs [{}] have stopped",
+                left.join(", ")
+            ),
+            Kind::Firm => format!(
+                "kept: a place at {at}; starts when jobs [{}] have stopped",
+                left.join(", ")
+            ),
+            Kind::Starving => format!(
+                "reservation: a place at {at} is reserved; starts when the work there ends, and stoppable work that came later gives way"
+            ),
+        }
+    }
+
+    fn explain_quota(
+        &self,
+        job: u64,
+        record: &Record,
+        name: &str,
+        account: &Account,
+    ) -> Option<String> {
+        let excess = self.quota_excess(job);
+        let quota = account.quota.filter(|_| excess > 0)?;
         let held = self.ledgers[record.account as usize].held;
         let need = record.accelerators();
-        if let Some(quota) = account.quota
-            && held + need > quota
-        {
-            return Some(format!(
-                "quota: `{name}` holds {held} of {quota} accelerators and the job needs {need}; end other work or raise the quota"
-            ));
-        }
+        Some(format!(
+            "quota: `{name}` holds {held} of {quota} accelerators and the job needs {need}; end {excess} accelerators of work or raise the quota"
+        ))
+    }
+
+    fn explain_owed(&self, centres: &[bool]) -> Option<String> {
+        let open = centres
+            .iter()
+            .zip(self.closed())
+            .any(|(permitted, closed)| *permitted && !closed);
+        let first = self.told.first().filter(|_| !open)?;
+        Some(format!(
+            "owed: no borrowing while a guarantee is owed there ({first})"
+        ))
+    }
+
+    fn explain_room(&self, job: u64, record: &Record, centres: &[bool]) -> String {
         let filter = Filter {
-            centres: &centres,
+            centres,
             avoid: &record.failed_on,
         };
-        let view = self.view();
-        let free: u32 = view
-            .0
-            .iter()
-            .zip(self.fleet.machines())
+        let mut view = self.view();
+        let need = record.accelerators();
+        if record.is_stoppable() {
+            if pack(&self.fleet, &view, &record.shape, filter).is_some() {
+                return self.explain_order(job, record);
+            }
+        } else {
+            let free = pack(&self.fleet, &view, &record.shape, filter).is_some();
+            self.hold_soft(job, &mut view);
+            match pack(&self.fleet, &view, &record.shape, filter) {
+                Some(_) if self.was_tried(record) => {
+                    return "guarantee: a place is free, but the job cannot be stopped and would leave a guaranteed shape without one; make it repeatable or add workers".into();
+                }
+                Some(_) => return self.explain_order(job, record),
+                None if free => {
+                    return "reservation: the free place is reserved for a gang that waited longer; waits for other work to end, or make the job repeatable".into();
+                }
+                None => {}
+            }
+        }
+        let spaces = view.0.iter().zip(self.fleet.machines());
+        let free: u32 = spaces
             .filter(|(_, machine)| centres.get(machine.centre).is_some_and(|ok| *ok))
             .map(|(space, _)| space.mask.len())
             .sum();
-        if pack(&self.fleet, &view, &record.shape, filter).is_some() {
-            return Some("order: a place is free; jobs before it are served first".into());
-        }
-        Some(match free >= need {
+        match free >= need {
             true => format!(
-                "adjacency: {free} accelerators are free but not {need} together as asked; waits for a place of {}",
+                "adjacency: {free} accelerators are free but no place for {}; waits for work to end or be moved",
                 describe(&record.shape)
             ),
             false => format!(
-                "capacity: {free} accelerators are free in the permitted places and the job needs {need}; waits for running work to end"
+                "capacity: {free} accelerators are free in the permitted places and the job needs {need}; waits for work to end"
             ),
-        })
+        }
+    }
+
+    /// Tells whether a job like this one was tried in the present state and not placed.
+    fn was_tried(&self, record: &Record) -> bool {
+        let tried = (record.account, record.class, record.ask());
+        self.tried.get(&tried) == Some(&self.epoch)
+    }
+
+    fn explain_order(&self, job: u64, record: &Record) -> String {
+        let ahead = self
+            .queue
+            .ahead(record.account, record.class, (record.submitted_ms, job));
+        format!("order: a place is free; {ahead} jobs of the account and class are served first")
     }
 
     /// Tells whether known workers in these data centres could hold `shape` if nothing else ran.
--- a/crates/gang/src/scheduler/job.rs
+++ b/crates/gang/src/scheduler/job.rs
@@ -1,6 +1,7 @@
 use {
     super::Scheduler,
     crate::{
+        fault::Fault,
         fleet::{Mask, Part},
         record::{Ledger, Phase, Record},
     },
@@ -19,7 +20,10 @@
             return;
         }
         if !self.jobs.contains_key(&job.id) {
-            self.admit(job);
+            self.enter(job, now);
+        }
+        if job.state != State::Queued {
+            self.dequeue(job.id);
         }
         let Some(record) = self.jobs.get_mut(&job.id) else {
             return;
@@ -35,7 +39,7 @@
         }
     }
 
-    fn admit(&mut self, job: &Job) {
+    fn enter(&mut self, job: &Job, now: Instant) {
         let (account, new) = self.names.insert_full(job.spec.account.clone());
         if new {
             self.ledgers.push(Ledger::default());
@@ -55,8 +59,27 @@
         let mut record = Record::new(account as u32, &job.spec);
         record.submitted_ms = job.submitted_ms;
         record.state = State::Queued;
+        record.cancelled = job.cancelled;
+        record.starts = job.starts;
+        record.changed_ms = job.changed_ms;
         self.jobs.insert(job.id, record);
-        self.enqueue(job.id);
+        let since = self
+            .wall_at(now)
+            .unwrap_or(0)
+            .saturating_sub(job.changed_ms);
+        let wait = self
+            .backoff(job.starts)
+            .saturating_sub(Duration::from_millis(since));
+        self.requeue(job.id, wait, now);
+    }
+
+    /// Wait before a job is tried again after `starts` attempts.
+    fn backoff(&self, starts: u32) -> Duration {
+        if starts == 0 {
+            return Duration::ZERO;
+        }
+        let doubled = self.settings.backoff_first * 2u32.saturating_pow((starts - 1).min(16));
+        doubled.min(self.settings.backoff_limit)
     }
 
     /// Puts a job into its queue.
@@ -65,7 +88,7 @@
             record.phase = Phase::Queued;
             let key = (record.submitted_ms, id);
             self.queue
-                .insert(record.account, record.class, &record.shape, key);
+                .insert(record.account, record.class, &record.ask(), key);
         }
     }
 
@@ -76,7 +99,7 @@
             match record.phase {
                 Phase::Queued => {
                     self.queue
-                        .remove(record.account, record.class, &record.shape, key)
+                        .remove(record.account, record.class, &record.ask(), key)
                 }
                 Phase::Waiting(due) => self.queue.unwait(due, id),
                 _ => {}
@@ -90,25 +113,41 @@
         };
         if earlier == State::Queued {
             // A repetition; a proposal that is under way stays.
+            if job.cancelled {
+                self.cancelled(job.id);
+            }
             return;
         }
         let reclaimed = record.asked.take().is_some();
         record.straggler = false;
+        let lost = reclaimed && self.planted(Fault::LoseReclaimed);
         self.release(job.id);
-        let wait = match (reclaimed, job.starts) {
-            (true, _) | (_, 0) => Duration::ZERO,
-            (false, starts) => {
-                let doubled =
-                    self.settings.backoff_first * 2u32.saturating_pow((starts - 1).min(16));
-                doubled.min(self.settings.backoff_limit)
-            }
+        let wait = match reclaimed {
+            true => Duration::ZERO,
+            false => self.backoff(job.starts),
         };
-        self.requeue(job.id, wait, now);
+        match lost {
+            true => self.lose(job.id),
+            false => self.requeue(job.id, wait, now),
+        }
+    }
+
+    /// Leaves a job in no queue; only for a planted fault.
+    fn lose(&mut self, id: u64) {
+        if let Some(record) = self.jobs.get_mut(&id) {
+            record.phase = Phase::Held;
+        }
     }
 
     /// Queues a job, to be tried after `wait`.
     pub(crate) fn requeue(&mut self, id: u64, wait: Duration, now: Instant) {
-        if wait.is_zero() {
+        let keep = self.planted(Fault::PlaceCancelled);
+        if let Some(record) = self.jobs.get_mut(&id)
+            && record.cancelled
+            && !keep
+        {
+            record.phase = Phase::Failing;
+        } else if wait.is_zero() {
             self.enqueue(id);
         } else if let Some(record) = self.jobs.get_mut(&id) {
             record.phase = Phase::Waiting(now + wait);
@@ -117,7 +156,6 @@
     }
 
     fn held(&mut self, job: &Job, earlier: State, now: Instant) {
-        self.dequeue(job.id);
         let parts = match &job.attempt {
             Some(attempt) => {
                 let parts = attempt.members.iter().map(|member| Part {
@@ -133,6 +171,8 @@
         let Some(record) = self.jobs.get_mut(&job.id) else {
             return;
         };
+        // The number of starts decides whether the work can be stopped.
+        self.firm = None;
         record.borrowed = job.borrowed;
         let same = record.parts.len() == parts.len()
             && record
@@ -159,6 +199,7 @@
 
     fn end(&mut self, job: &Job, now: Instant) {
         self.dequeue(job.id);
+        self.judge_end(job.id, job.state == State::Done);
         if let Some(record) = self.jobs.get(&job.id)
             && let (State::Done, Some(since)) = (job.state, record.running)
         {
@@ -167,6 +208,9 @@
             history.entry(record.class).or_default().add(seconds);
         }
         self.release(job.id);
+        if self.bookings.remove(&job.id).is_some() {
+            self.changed();
+        }
         if let Some(record) = self.jobs.remove(&job.id) {
             self.ledgers[record.account as usize].jobs -= 1;
         }
@@ -174,6 +218,12 @@
 
     /// A cancellation was accepted: a queued job is not placed any more.
     pub(crate) fn cancelled(&mut self, id: u64) {
+        if self.planted(Fault::PlaceCancelled) {
+            return;
+        }
+        if self.bookings.remove(&id).is_some() {
+            self.changed();
+        }
         self.dequeue(id);
         if let Some(record) = self.jobs.get_mut(&id) {
             record.cancelled = true;
@@ -183,21 +233,15 @@
         }
     }
 
-    pub(crate) fn task_failed(&mut self, id: u64, worker: &str) {
-        let machine = self.intern(worker);
-        if let Some(record) = self.jobs.get_mut(&id)
-            && !record.failed_on.contains(&machine)
-        {
-            record.failed_on.push(machine);
-        }
-    }
-
     /// The last proposal for a job was refused.
     pub(crate) fn rejected(&mut self, id: u64, now: Instant) {
         let Some(record) = self.jobs.get_mut(&id) else {
             return;
         };
-        record.asked = None;
+        if record.asked.take().is_some() {
+            self.firm = None;
+            self.recheck = true;
+        }
         match record.phase {
             Phase::Proposed => {
                 self.release(id);
--- a/crates/gang/src/scheduler/observe.rs
+++ b/crates/gang/src/scheduler/observe.rs
@@ -1,6 +1,6 @@
 use {
     super::Scheduler,
-    crate::Event,
+    crate::{Event, fleet::Machine},
     model::{
         config::Config,
         worker::{Task, Worker},
@@ -16,23 +16,23 @@
             Event::Configured(config) => self.configured(*config),
             Event::WorkerSeen { worker, tasks } => self.worker_seen(&worker, &tasks),
             Event::WorkerSilent { worker } | Event::WorkerLost { worker } => {
-                let index = self.intern(&worker);
-                self.fleet.machine_mut(index).live = false;
+                self.condition(&worker, |machine| machine.live = false);
             }
             Event::WorkerDrained { worker } => {
-                let index = self.intern(&worker);
-                self.fleet.machine_mut(index).drained = true;
+                self.condition(&worker, |machine| machine.drained = true);
             }
             Event::WorkerReturned { worker } => {
-                let index = self.intern(&worker);
-                let machine = self.fleet.machine_mut(index);
-                machine.drained = false;
-                machine.quarantined = None;
+                self.condition(&worker, |machine| {
+                    machine.drained = false;
+                    machine.quarantined = None;
+                });
+            }
+            Event::Probed { worker, passed } => {
+                self.condition(&worker, |machine| machine.probed(passed, now));
             }
-            Event::Probed { worker, passed } => self.probed(&worker, passed),
             Event::Accepted(job) | Event::Changed(job) => self.job(&job, now),
             Event::Cancelled { job } => self.cancelled(job),
-            Event::TaskFailed { job, worker } => self.task_failed(job, &worker),
+            Event::TaskFailed { job, worker } => self.task_failed(job, &worker, now),
             Event::Rejected { job } => self.rejected(job, now),
             Event::Tick { wall_ms } => self.wall = Some((now, wall_ms)),
         }
@@ -58,13 +58,38 @@
     }
 
     fn configured(&mut self, config: Config) {
+        self.proof = self.proof.remap(&self.config, &config);
         self.config = config;
+        self.changed();
+        self.recheck = true;
+    }
+
+    /// Changes the condition of a worker.
+    fn condition(&mut self, worker: &str, change: impl FnOnce(&mut Machine)) {
+        let index = self.intern(worker);
+        let machine = self.fleet.machine_mut(index);
+        let before = machine.in_service();
+        change(machine);
+        if machine.in_service() != before {
+            if before {
+                self.failures[index as usize].clear();
+            }
+            self.changed();
+        }
+    }
+
+    /// The capacity in service or the rules changed.
+    pub(crate) fn changed(&mut self) {
+        self.epoch += 1;
+        self.firm = None;
     }
 
     fn worker_seen(&mut self, worker: &Worker, tasks: &[Task]) {
         self.intern(&worker.name);
         if self.fleet.seen(worker) {
             self.rebuild_room();
+            self.changed();
+            self.recheck = true;
         }
         let Some(index) = self.fleet.find(&worker.name) else {
             return;
@@ -96,13 +121,10 @@
             part.cpus = cpus;
             part.memory_mb = memory_mb;
             self.room.hold(part);
-        }
-    }
-
-    fn probed(&mut self, worker: &str, passed: bool) {
-        let index = self.intern(worker);
-        if passed {
-            self.fleet.machine_mut(index).quarantined = None;
+            self.epoch += 1;
+            if !record.borrowed || !record.is_stoppable() {
+                self.firm = None;
+            }
         }
     }
 }
--- a/crates/gang/src/scheduler/scheduler.rs
+++ b/crates/gang/src/scheduler/scheduler.rs
@@ -1,19 +1,29 @@
 use {
+    super::Failures,
     crate::{
-        Decision, Settings, Shortfall,
-        fleet::{Fleet, Part, Room},
-        record::{Ledger, Phase, Queue, Record},
+        Settings, Shortfall,
+        fault::Fault,
+        fleet::{Fleet, Machine, Part, Room},
+        proof::{Firm, Proof, Proved},
+        reclaim::Booking,
+        record::{Ask, Ledger, Phase, Queue, Record},
     },
     indexmap::IndexSet,
     model::{
         account::Account,
         config::Config,
-        job::{Member, Spec},
+        job::{Class, Member, Spec},
         place::{Place, Site},
     },
-    std::{collections::BTreeMap, time::Instant},
+    std::{
+        collections::{BTreeMap, HashMap},
+        time::Instant,
+    },
 };
 
+/// Account, class and ask of jobs that were tried.
+type Tried = (u32, Class, Ask);
+
 /// Decides which job of a group runs where.
 ///
 /// Everything can be rebuilt by a new leader from the configuration, all jobs and the announcements
@@ -33,8 +43,29 @@
     pub(crate) wall: Option<(Instant, u64)>,
     /// Last instant up to which shares were served.
     pub(crate) served: Option<Instant>,
-    /// Decisions found while observing, handed out by the next `decide`.
-    pub(crate) pending: Vec<Decision>,
+    /// Places kept for jobs whose holders were asked to stop or are waited for.
+    pub(crate) bookings: BTreeMap<u64, Booking>,
+    /// Work that cannot be taken back; none when it must be collected again.
+    pub(crate) firm: Option<Firm>,
+    pub(crate) proof: Proof,
+    /// What was last reported as owed.
+    pub(crate) told: Vec<Shortfall>,
+    /// Failed jobs by machine.
+    pub(crate) failures: Vec<Failures>,
+    /// Grows whenever a queued job that did not fit might fit now.
+    pub(crate) epoch: u64,
+    /// Asks that did not fit, with the epoch in which they were tried.
+    pub(crate) tried: HashMap<Tried, u64>,
+    /// Whether held work must be compared with the permitted places again.
+    pub(crate) recheck: bool,
+    /// When reservations were last planned.
+    pub(crate) reserved: Option<Instant>,
+    /// When compaction was last considered.
+    pub(crate) compacted: Option<Instant>,
+    /// When running jobs were last judged.
+    pub(crate) judged: Option<Instant>,
+    #[cfg(feature = "faults")]
+    planted: Option<Fault>,
 }
 
 impl Scheduler {
@@ -51,19 +82,100 @@
             ledgers: Vec::new(),
             wall: None,
             served: None,
-            pending: Vec::new(),
+            bookings: BTreeMap::new(),
+            firm: None,
+            proof: Proof::default(),
+            told: Vec::new(),
+            failures: Vec::new(),
+            epoch: 0,
+            tried: HashMap::new(),
+            recheck: false,
+            reserved: None,
+            compacted: None,
+            judged: None,
+            #[cfg(feature = "faults")]
+            planted: None,
         }
     }
 
-    /// Tells whether every guarantee of `config` can be proved on the workers in service, or returns
-    /// what cannot.
-    pub fn check(&self, _config: &Config) -> Result<(), Vec<Shortfall>> {
-        Ok(())
+    /// Breaks one rule on purpose; for tests of the oracle.
+    #[cfg(feature = "faults")]
+    pub fn plant(&mut self, fault: Fault) {
+        self.planted = Some(fault);
+    }
+
+    #[cfg(feature = "faults")]
+    pub(crate) fn planted(&self, fault: Fault) -> bool {
+        self.planted == Some(fault)
+    }
+
+    #[cfg(not(feature = "faults"))]
+    pub(crate) fn planted(&self, _: Fault) -> bool {
+        false
+    }
+
+    /// Tells whether every guarantee of `config` can be proved on the workers in service beside the
+    /// work that cannot be stopped. Returns what a note with this result would add to what is owed
+    /// already; guarantees that are owed under the present configuration are not held against it.
+    pub fn check(&self, config: &Config) -> Result<(), Vec<Shortfall>> {
+        let previous = self.proof.remap(&self.config, config);
+        let firm = self.collect(config);
+        let proof = self.prover(config).prove(&firm, &previous);
+        let now = self
+            .prover(&self.config)
+            .prove(&self.collect(&self.config), &self.proof);
+        let known = |next: &Shortfall| {
+            let same = |last: &&Shortfall| {
+                (&last.account, &last.guarantee) == (&next.account, &next.guarantee)
+            };
+            let guarantee = |config: &Config| {
+                let account = config.accounts.get(&next.account)?;
+                account.guarantees.get(&next.guarantee).cloned()
+            };
+            let missing: u16 = now
+                .missing
+                .iter()
+                .filter(same)
+                .map(|last| last.missing)
+                .sum();
+            missing >= next.missing && guarantee(config) == guarantee(&self.config)
+        };
+        let new: Vec<_> = proof
+            .missing
+            .into_iter()
+            .filter(|next| !known(next))
+            .collect();
+        if new.is_empty() { Ok(()) } else { Err(new) }
     }
 
-    /// Guarantees that cannot be proved now.
+    /// Guarantees that could not be proved at the last decision.
     pub fn owed(&self) -> &[Shortfall] {
-        &[]
+        &self.told
+    }
+
+    /// The proof as of the last decision: one place for each guaranteed gang that fits.
+    pub fn proof(&self) -> Vec<Proved> {
+        let proved = |set: &crate::proof::Set| {
+            let (account, entry) = self.config.accounts.get_index(set.slot.0 as usize)?;
+            let (guarantee, _) = entry.guarantees.get_index(set.slot.1 as usize)?;
+            Some(Proved {
+                account: account.clone(),
+                guarantee: guarantee.clone(),
+                job: set.job,
+                members: self.members(&set.parts),
+            })
+        };
+        self.proof.sets.iter().filter_map(proved).collect()
+    }
+
+    /// Places reserved for starving gangs. Stoppable work may run there until the gang can start.
+    pub fn reservations(&self) -> Vec<(u64, Vec<Member>)> {
+        let soft = self
+            .bookings
+            .iter()
+            .filter(|(_, booking)| booking.is_soft());
+        soft.map(|(job, booking)| (*job, self.members(&booking.parts)))
+            .collect()
     }
 
     /// Tells whether some known worker, rack or data centre in the permitted places could hold the
@@ -101,18 +213,25 @@
             .get(self.names.get_index(index as usize)?)
     }
 
-    /// Free room on workers in service.
+    /// Free room on workers in service, without places kept for claims.
     pub(crate) fn view(&self) -> Room {
         let mut room = self.room.clone();
         for (space, machine) in room.0.iter_mut().zip(self.fleet.machines()) {
-            space.open = machine.in_service();
+            space.open = machine.known && self.may_use(machine);
             if !space.open {
                 *space = Default::default();
             }
         }
+        for booking in self.bookings.values().filter(|booking| !booking.is_soft()) {
+            booking.parts.iter().for_each(|part| room.hold(part));
+        }
         room
     }
 
+    fn may_use(&self, machine: &Machine) -> bool {
+        machine.in_service() || self.planted(Fault::UseOutOfService)
+    }
+
     /// Builds `room` again after the capacity of a worker changed.
     pub(crate) fn rebuild_room(&mut self) {
         self.room = self.fleet.empty_room(|machine| machine.known);
@@ -126,9 +245,9 @@
     /// Index of a worker by name; a worker never seen is added.
     pub(crate) fn intern(&mut self, worker: &str) -> u32 {
         let index = self.fleet.intern(worker);
-        self.room
-            .0
-            .resize(self.fleet.machines().len(), Default::default());
+        let count = self.fleet.machines().len();
+        self.room.0.resize(count, Default::default());
+        self.failures.resize(count, Default::default());
         index
     }
 
@@ -155,6 +274,9 @@
                 self.room.free(&part);
             }
             self.ledgers[record.account as usize].held -= record.accelerators();
+            self.epoch += 1;
+            self.firm = None;
+            record.guarantee = None;
             record.placed = None;
             record.running = None;
             record.since_checkpoint = 0;
--- /dev/null
+++ b/crates/gang/src/scheduler/turn.rs
@@ -0,0 +1,18 @@
+use {
+    crate::{Decision, fleet::Room},
+    std::time::Instant,
+};
+
+/// Work in progress of one call of `decide`.
+pub(crate) struct Turn {
+    /// The time of the call.
+    pub now: Instant,
+    /// Free room on workers in service, without kept places and what was proposed in this call.
+    pub view: Room,
+    /// Data centres without new borrowing, because a guarantee there is owed.
+    pub closed: Vec<bool>,
+    /// First jobs of their queues that did not fit.
+    pub blocked: Vec<u64>,
+    /// Proposals so far.
+    pub out: Vec<Decision>,
+}
