--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder.
+//! Seeded experiments that print the target table.
+
+pub mod jobs;
