Fuzz shares, gossip, queues and claims against oracles

The promises of the request path must hold under loss, delay, duplication, death of processes and change of leader. Gossip now pulls for 10 s through another peer when an entry's own messages do not arrive, so a cut inside a region hides upstreams for under 1.5 s in 30 s.

--- a/crates/route/src/member/members.rs
+++ b/crates/route/src/member/members.rs
@@ -15,6 +15,13 @@
 /// change that is still under way.
 const MISMATCHES_BEFORE_PULL: u8 = 3;
 
+/// A pull that brings news of an entry this old shows that its own messages do not arrive: a direct path
+/// takes at most the interval of announcements plus that of gossip, 1.5 s.
+const STALE: Duration = Duration::from_millis(1500);
+
+/// Time for which entries are then pulled with every message.
+const PULL_TIME: Duration = Duration::from_secs(10);
+
 /// How an entry came to this instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Origin {
@@ -226,7 +233,8 @@
                 held_ms: now.duration_since(at).as_millis() as u64,
             });
             let number = exchange.stamp(now);
-            let pull = std::mem::take(&mut exchange.wants_pull);
+            let pull = std::mem::take(&mut exchange.wants_pull)
+                || (!remote && exchange.pull_until.is_some_and(|until| now < until));
             messages.push((
                 id,
                 Delta {
@@ -322,6 +330,15 @@
         let heard = |age_ms: u64| now.checked_sub(transit + Duration::from_millis(age_ms));
         for record in delta.records {
             if let Some(at) = heard(record.age_ms) {
+                let stale = self
+                    .live_entry(&record.announcement.upstream.name, now)
+                    .is_none_or(|entry| {
+                        now.duration_since(entry.heard) >= STALE
+                            && record.announcement.sequence > entry.announcement.sequence
+                    });
+                if let (true, Some(exchange)) = (stale, self.exchanges.get_mut(&delta.from)) {
+                    exchange.pull_until = Some(now + PULL_TIME);
+                }
                 self.merge(record.announcement, at, origin, now);
             }
         }
--- a/crates/route/src/member/peer.rs
+++ b/crates/route/src/member/peer.rs
@@ -30,6 +30,8 @@
     pub(super) mismatches: u8,
     pub(super) wants_pull: bool,
     pub(super) asked_pull: bool,
+    /// Entries are pulled with every message until then.
+    pub(super) pull_until: Option<Instant>,
 }
 
 impl Exchange {
@@ -43,6 +45,7 @@
             mismatches: 0,
             wants_pull: false,
             asked_pull: false,
+            pull_until: None,
         }
     }
 
--- a/crates/route/src/share/granter.rs
+++ b/crates/route/src/share/granter.rs
@@ -87,7 +87,8 @@
             region: region.to_owned(),
             term,
             started: now,
-            max_deadline,
+            // The clock of an upstream may run 5% slower than this one.
+            max_deadline: max_deadline + max_deadline / 20,
             instances: instances.to_vec(),
             pools: IndexMap::new(),
             parties: IndexMap::new(),
@@ -185,7 +186,7 @@
         }
         match pool.unknown {
             Some(busy) if missing || young => u32::from(busy),
-            None if missing => u32::from(pool.slots),
+            None if missing || young => u32::from(pool.slots),
             _ => 0,
         }
     }
--- /dev/null
+++ b/crates/route/tests/queues.rs
@@ -0,0 +1,162 @@
+//! Fuzzing of the queues against a plain model, and their shares.
+
+mod common;
+
+use {
+    common::{check, ms, rng},
+    model::request::Class,
+    rand::RngExt,
+    route::queue::{Key, Limits, Queues, Seats, Waiting},
+    std::{collections::BTreeSet, time::Instant},
+};
+
+fn key(account: usize, class: Class) -> Key {
+    Key {
+        account: format!("a{account}"),
+        class,
+        service: "fit".into(),
+    }
+}
+
+const BOTH: [Class; 2] = [Class::Short, Class::Batch];
+
+fn run(seed: u64) -> Result<(), String> {
+    let mut rng = rng(seed);
+    let start = Instant::now();
+    let limits = Limits {
+        lane: 20,
+        total: 60,
+        ..Limits::default()
+    };
+    let mut queues = Queues::new(limits.clone());
+    let mut model: Vec<(Key, BTreeSet<(Instant, u64)>)> = (0..3)
+        .flat_map(|account| BOTH.map(|class| (key(account, class), BTreeSet::new())))
+        .collect();
+    for request in 0..2000 {
+        let total: usize = model.iter().map(|(_, lane)| lane.len()).sum();
+        let pick = rng.random_range(0..model.len());
+        let (key, lane) = &mut model[pick];
+        match rng.random_range(0..10) {
+            0..6 => {
+                let deadline = start + ms(rng.random_range(0..10_000));
+                let waiting = Waiting { request, deadline };
+                let fits = lane.len() < limits.lane && total < limits.total;
+                if queues.push(key, 1 + pick as u32 % 3, waiting) != fits {
+                    return Err(format!(
+                        "push of {request} with {total} waiting broke the bound"
+                    ));
+                }
+                if fits {
+                    lane.insert((deadline, request));
+                }
+            }
+            6 => {
+                if let Some((deadline, request)) = lane.first().copied() {
+                    lane.remove(&(deadline, request));
+                    if !queues.remove(key, Waiting { request, deadline }) {
+                        return Err(format!("request {request} was lost"));
+                    }
+                }
+            }
+            _ => {
+                let seats = Seats {
+                    slots: 16,
+                    batch: rng.random_range(0..16),
+                    headroom: 0,
+                };
+                let before = seats.batch;
+                let taken = queues.take(seats, |_, _| Some(()));
+                let Some((key, waiting, ())) = taken else {
+                    let short = model
+                        .iter()
+                        .any(|(k, l)| k.class == Class::Short && !l.is_empty());
+                    if short {
+                        return Err("short work waits beside a free slot".into());
+                    }
+                    continue;
+                };
+                if key.class == Class::Batch && before >= 14 {
+                    return Err("batch took the slots kept from it".into());
+                }
+                let lane = model.iter_mut().find(|(other, _)| *other == key);
+                let first = lane.and_then(|(_, lane)| lane.pop_first());
+                if first != Some((waiting.deadline, waiting.request)) {
+                    return Err(format!("{} left out of order", waiting.request));
+                }
+                queues.charge(&key.account, key.class, rng.random_range(0.001..1.0));
+            }
+        }
+        let total: usize = model.iter().map(|(_, lane)| lane.len()).sum();
+        if queues.len() != total {
+            return Err(format!("{} counted, {total} wait", queues.len()));
+        }
+    }
+    Ok(())
+}
+
+/// Guards against lost requests, broken bounds, a wrong order, and batch on the slots kept for short work.
+#[test]
+fn agrees_with_a_model() {
+    check(200, run);
+}
+
+/// Guards against an account that crowds out others: slot time follows the weights, whoever queues more.
+#[test]
+fn accounts_share_by_weight() {
+    let start = Instant::now();
+    let mut queues = Queues::new(Limits {
+        lane: 100_000,
+        total: 200_000,
+        ..Limits::default()
+    });
+    let mut rng = rng(7);
+    for request in 0..40_000 {
+        let account = if request % 10 == 0 { 1 } else { 0 };
+        let weight = if account == 0 { 1 } else { 3 };
+        let waiting = Waiting {
+            request,
+            deadline: start + ms(request),
+        };
+        queues.push(&key(account, Class::Short), weight, waiting);
+    }
+    let mut used = [0.0, 0.0];
+    while used[0] + used[1] < 2000.0 {
+        let seats = Seats {
+            slots: 16,
+            ..Seats::default()
+        };
+        let (key, _, ()) = queues.take(seats, |_, _| Some(())).unwrap();
+        let seconds = rng.random_range(0.01..2.0);
+        queues.charge(&key.account, Class::Short, seconds);
+        used[usize::from(key.account == "a1")] += seconds;
+    }
+    let share = used[1] / (used[0] + used[1]);
+    assert!((share - 0.75).abs() < 0.02, "weight 3 of 4 got {share}");
+}
+
+/// Guards against batch work that never runs while short work keeps coming.
+#[test]
+fn batch_progresses() {
+    let start = Instant::now();
+    let mut queues = Queues::new(Limits::default());
+    let mut used = [0.0, 0.0];
+    for request in 0..20_000u64 {
+        for class in BOTH {
+            let waiting = Waiting {
+                request,
+                deadline: start + ms(request),
+            };
+            queues.push(&key(0, class), 1, waiting);
+        }
+        let seats = Seats {
+            slots: 16,
+            ..Seats::default()
+        };
+        let (key, _, ()) = queues.take(seats, |_, _| Some(())).unwrap();
+        let seconds = if key.class == Class::Batch { 1.0 } else { 0.05 };
+        queues.charge(&key.account, key.class, seconds);
+        used[usize::from(key.class == Class::Batch)] += seconds;
+    }
+    let share = used[1] / (used[0] + used[1]);
+    assert!((0.04..0.08).contains(&share), "batch got {share}");
+}
--- /dev/null
+++ b/crates/route/tests/shares.rs
@@ -0,0 +1,357 @@
+//! Fuzzing of the slot shares: whatever is lost, delayed, duplicated or dies, the slots that processes use
+//! or may use never exceed the slots of an upstream.
+
+mod common;
+
+use {
+    common::{Network, check, finds, ms, rng},
+    rand::{RngExt, rngs::StdRng},
+    route::{
+        faults::Fault,
+        share::{Grant, Granter, Holder, Report, Supply},
+    },
+    std::time::{Duration, Instant},
+};
+
+const REGION: &str = "north";
+const MAX_DEADLINE: Duration = Duration::from_secs(6);
+const STEP: Duration = Duration::from_millis(50);
+
+/// One process, with a clock that runs up to 2.4% fast or slow.
+struct Process {
+    id: u64,
+    holder: Holder,
+    rate: f64,
+    offset: Duration,
+    next_report: Instant,
+    want: u32,
+    alive: bool,
+    cut_until: Instant,
+}
+
+struct World {
+    rng: StdRng,
+    start: Instant,
+    now: Instant,
+    granter: Option<Granter>,
+    term: u64,
+    leader_at: Instant,
+    processes: Vec<Process>,
+    boots: u64,
+    /// Requests at upstreams: upstream, process boot index, end.
+    running: Vec<(usize, usize, Instant)>,
+    slots: Vec<u16>,
+    reports_busy: Vec<bool>,
+    /// Last announcement heard by the leader: busy and when.
+    heard: Vec<(u16, Instant)>,
+    announcements: Network<(usize, u16)>,
+    reports: Network<(u64, Report)>,
+    grants: Network<(usize, Grant)>,
+    ids: Vec<u64>,
+}
+
+impl World {
+    fn new(seed: u64) -> World {
+        let mut rng = rng(seed);
+        let start = Instant::now();
+        let upstreams = rng.random_range(1..4);
+        let instances = rng.random_range(2..6u64);
+        let slots: Vec<u16> = (0..upstreams).map(|_| rng.random_range(1..9)).collect();
+        let reports_busy = (0..upstreams).map(|_| rng.random_bool(0.7)).collect();
+        let announcements = Network::new(&mut rng);
+        let (reports, grants) = (Network::new(&mut rng), Network::new(&mut rng));
+        let ids: Vec<u64> = (1..=instances).collect();
+        let mut world = World {
+            start,
+            now: start,
+            granter: None,
+            term: 0,
+            leader_at: start,
+            processes: Vec::new(),
+            boots: 0,
+            running: Vec::new(),
+            heard: vec![(0, start); upstreams],
+            slots,
+            reports_busy,
+            announcements,
+            reports,
+            grants,
+            ids: ids.clone(),
+            rng,
+        };
+        ids.into_iter().for_each(|id| world.boot(id));
+        world
+    }
+
+    fn boot(&mut self, id: u64) {
+        self.boots += 1;
+        let rate = self.rng.random_range(0.976..1.024);
+        let offset = ms(self.rng.random_range(0..1000));
+        let mut process = Process {
+            id,
+            holder: Holder::new(REGION, id, self.boots, self.start),
+            rate,
+            offset,
+            next_report: self.now,
+            want: 100,
+            alive: true,
+            cut_until: self.start,
+        };
+        let local = process.local(self.now, self.start);
+        process.holder = Holder::new(REGION, id, self.boots, local);
+        self.processes.push(process);
+    }
+
+    fn busy(&self, upstream: usize, process: usize) -> u16 {
+        self.running
+            .iter()
+            .filter(|(at, by, _)| (*at, *by) == (upstream, process))
+            .count() as u16
+    }
+
+    fn step(&mut self) {
+        self.now += STEP;
+        let now = self.now;
+        self.running.retain(|(_, _, end)| *end > now);
+        self.events();
+        self.announce();
+        self.exchange();
+        self.work();
+    }
+
+    fn events(&mut self) {
+        if self.granter.is_none() && now_after(self.now, self.leader_at) {
+            self.term += 1;
+            let granter = Granter::new(REGION, self.term, &self.ids, MAX_DEADLINE, self.now);
+            self.granter = Some(granter);
+            self.heard
+                .iter_mut()
+                .for_each(|heard| *heard = (u16::MAX, self.start));
+        } else if self.rng.random_bool(0.002) {
+            // The old leader stops before a new one is elected.
+            self.granter = None;
+            self.leader_at = self.now + ms(self.rng.random_range(50..2000));
+        }
+        for index in 0..self.processes.len() {
+            if !self.processes[index].alive {
+                continue;
+            }
+            if self.rng.random_bool(0.001) {
+                self.processes[index].alive = false;
+            } else if self.rng.random_bool(0.002) {
+                self.processes[index].cut_until = self.now + ms(self.rng.random_range(500..9000));
+            } else if self.rng.random_bool(0.01) {
+                self.processes[index].want = self.rng.random_range(0..1500);
+            }
+        }
+        for id in self.ids.clone() {
+            let lives = self
+                .processes
+                .iter()
+                .any(|process| process.id == id && process.alive);
+            if !lives && self.rng.random_bool(0.02) {
+                self.boot(id);
+            }
+        }
+    }
+
+    fn announce(&mut self) {
+        for upstream in 0..self.slots.len() {
+            if self.rng.random_bool(0.05) {
+                let busy = self
+                    .running
+                    .iter()
+                    .filter(|(at, _, _)| *at == upstream)
+                    .count() as u16;
+                // An announcement that takes a second or more is abandoned by its sender.
+                let delay = self.announcements.late;
+                self.announcements.late = 0.0;
+                self.announcements
+                    .send(&mut self.rng, (upstream, busy), self.now);
+                self.announcements.late = delay;
+            }
+        }
+        for (upstream, busy) in self.announcements.arrived(self.now) {
+            self.heard[upstream] = (busy, self.now);
+        }
+    }
+
+    fn exchange(&mut self) {
+        let (now, start) = (self.now, self.start);
+        for index in 0..self.processes.len() {
+            if !self.processes[index].alive || self.processes[index].next_report > now {
+                continue;
+            }
+            let rows: Vec<(String, u16, u32)> = (0..self.slots.len())
+                .map(|at| {
+                    (
+                        format!("u{at}"),
+                        self.busy(at, index),
+                        self.processes[index].want,
+                    )
+                })
+                .collect();
+            let process = &mut self.processes[index];
+            process.next_report = now + ms(500);
+            let local = process.local(now, start);
+            let report = process.holder.report(rows, local);
+            if now >= process.cut_until {
+                self.reports.send(&mut self.rng, (process.id, report), now);
+            }
+        }
+        let supplies: Vec<Supply> = (0..self.slots.len())
+            .filter(|at| self.heard[*at].0 != u16::MAX)
+            .map(|at| Supply {
+                upstream: format!("u{at}"),
+                slots: self.slots[at],
+                busy: self.reports_busy[at].then_some(self.heard[at].0),
+                age: now - self.heard[at].1,
+            })
+            .collect();
+        let arrived = self.reports.arrived(now);
+        if let Some(granter) = &mut self.granter {
+            granter.supply(supplies, now);
+            for (_, report) in arrived {
+                if let Some(grant) = granter.grant(&report, now) {
+                    let to = grant.boot as usize - 1;
+                    self.grants.send(&mut self.rng, (to, grant), now);
+                }
+            }
+        }
+        for (to, grant) in self.grants.arrived(now) {
+            let process = &mut self.processes[to];
+            if process.alive && now >= process.cut_until {
+                let local = process.local(now, start);
+                process.holder.apply(&grant, local);
+            }
+        }
+    }
+
+    fn work(&mut self) {
+        for index in 0..self.processes.len() {
+            for at in 0..self.slots.len() {
+                let local = self.processes[index].local(self.now, self.start);
+                let limit = self.processes[index].holder.limit(&format!("u{at}"), local);
+                let mut busy = self.busy(at, index);
+                while self.processes[index].alive && busy < limit && self.rng.random_bool(0.6) {
+                    let time = self.rng.random_range(20..MAX_DEADLINE.as_millis() as u64);
+                    self.running.push((at, index, self.now + ms(time)));
+                    busy += 1;
+                }
+            }
+        }
+    }
+
+    /// The oracle: requests at the upstream and slots that live processes may still fill.
+    fn used(&self, at: usize) -> u32 {
+        (0..self.processes.len())
+            .map(|index| {
+                let process = &self.processes[index];
+                let local = process.local(self.now, self.start);
+                let limit = process.holder.limit(&format!("u{at}"), local);
+                let busy = self.busy(at, index);
+                u32::from(if process.alive { busy.max(limit) } else { busy })
+            })
+            .sum()
+    }
+}
+
+impl Process {
+    fn local(&self, now: Instant, start: Instant) -> Instant {
+        start + self.offset + (now - start).mul_f64(self.rate)
+    }
+}
+
+fn now_after(now: Instant, at: Instant) -> bool {
+    now >= at
+}
+
+fn run(seed: u64) -> Result<(), String> {
+    let mut world = World::new(seed);
+    for _ in 0..1200 {
+        world.step();
+        for at in 0..world.slots.len() {
+            let (used, slots) = (world.used(at), u32::from(world.slots[at]));
+            if used > slots {
+                let time = (world.now - world.start).as_millis();
+                return Err(format!(
+                    "{used} of {slots} slots of u{at} in use at {time} ms"
+                ));
+            }
+        }
+    }
+    Ok(())
+}
+
+/// Guards against an upstream that gets more requests at once than it has slots.
+#[test]
+fn sum_never_exceeds_slots() {
+    check(300, run);
+}
+
+/// Guards against an oracle that would accept a share that returns while its requests may run.
+#[test]
+fn early_return_is_found() {
+    finds(Fault::EarlyReturn, 100, run);
+}
+
+/// Guards against an oracle that would accept a new leader that ignores its predecessor's leases.
+#[test]
+fn granting_at_once_is_found() {
+    finds(Fault::GrantAtOnce, 100, run);
+}
+
+/// Guards against safety by never granting: without faults, all slots are in use one lease after the start,
+/// and the share of a silent process returns.
+#[test]
+fn all_slots_are_granted() {
+    let start = Instant::now();
+    let mut granter = Granter::new(REGION, 1, &[1, 2, 3], MAX_DEADLINE, start);
+    let mut holders: Vec<Holder> = (1..=3)
+        .map(|id| Holder::new(REGION, id, id, start))
+        .collect();
+    let mut now = start;
+    let mut round = |live: usize, wants: [u32; 3], now: Instant, busy: u16| -> Vec<u16> {
+        let supply = Supply {
+            upstream: "u".into(),
+            slots: 8,
+            busy: Some(busy),
+            age: ms(0),
+        };
+        granter.supply([supply], now);
+        for (holder, want) in holders.iter_mut().zip(wants).take(live) {
+            let report = holder.report([("u".to_owned(), 0, want)], now);
+            let grant = granter.grant(&report, now).unwrap();
+            assert!(holder.apply(&grant, now));
+        }
+        holders
+            .iter()
+            .map(|holder| holder.limit("u", now))
+            .collect()
+    };
+    let mut limits = Vec::new();
+    while now < start + ms(6000) {
+        limits = round(3, [100, 100, 100], now, 0);
+        now += ms(500);
+    }
+    assert_eq!(limits.iter().sum::<u16>(), 8, "{limits:?}");
+    for _ in 0..4 {
+        limits = round(3, [1400, 100, 100], now, 0);
+        now += ms(500);
+    }
+    assert_eq!(
+        (limits[0], limits[1] + limits[2]),
+        (7, 1),
+        "shares follow demand"
+    );
+    let mut after = ms(0);
+    while limits[0] + limits[1] < 8 || limits[2] > 0 {
+        limits = round(2, [400, 400, 0], now, 0);
+        now += ms(500);
+        after += ms(500);
+        assert!(
+            after <= ms(6000),
+            "the share of a silent process did not return: {limits:?}"
+        );
+    }
+}
