Test the request path against failing upstreams and hostile callers

Found and fixed by these tests: a request whose only upstream failed waited for its deadline instead of being refused; an answer with trailers was counted as abandoned and its connection was lost; a head with a content length before a chunked encoding was accepted because hyper drops the length, so heads are now followed in the bytes read.

--- a/crates/entry/src/body/relay.rs
+++ b/crates/entry/src/body/relay.rs
@@ -137,7 +137,8 @@
         match frame {
             Some(Ok(frame)) => {
                 parts.count(&frame);
-                if parts.incoming.is_end_stream() {
+                // hyper does not ask for more after trailers.
+                if frame.is_trailers() || parts.incoming.is_end_stream() {
                     self.close(Some(frame));
                     return self.poll(cx);
                 }
--- a/crates/entry/src/filter/identify.rs
+++ b/crates/entry/src/filter/identify.rs
@@ -27,6 +27,10 @@
 /// Service of requests that name none.
 const DEFAULT_SERVICE: &str = "default";
 
+/// Marks a request whose head states its length in two ways.
+#[derive(Clone, Copy)]
+pub(crate) struct Ambiguous;
+
 /// Finds account, class, service, deadline and key, and refuses requests that upstreams could read
 /// differently.
 pub(super) async fn identify(
@@ -120,7 +124,8 @@
     if parts.version != Version::HTTP_11 && parts.version != Version::HTTP_10 {
         return Err(bad("only HTTP/1 is served"));
     }
-    if headers::is_ambiguous(&parts.headers) {
+    let ambiguous = parts.extensions.get::<Ambiguous>().is_some();
+    if ambiguous || headers::is_ambiguous(&parts.headers) {
         return Err(bad("the length of the body is stated more than once"));
     }
     if matches!(parts.method, Method::CONNECT | Method::TRACE) {
--- a/crates/entry/src/filter/mod.rs
+++ b/crates/entry/src/filter/mod.rs
@@ -10,4 +10,7 @@
 mod queue;
 mod route;
 
-pub(crate) use chain::{Context, answer};
+pub(crate) use {
+    chain::{Context, answer},
+    identify::Ambiguous,
+};
--- a/crates/entry/src/server/guarded.rs
+++ b/crates/entry/src/server/guarded.rs
@@ -1,4 +1,5 @@
 use {
+    super::framing::{Framing, Verdicts},
     std::{
         future::Future,
         io,
@@ -18,14 +19,17 @@
     stream: TcpStream,
     stall: Duration,
     timer: Option<Pin<Box<Sleep>>>,
+    framing: Framing,
 }
 
 impl Guarded {
-    pub(super) fn new(stream: TcpStream, stall: Duration) -> Guarded {
+    pub(super) fn new(stream: TcpStream, stall: Duration, verdicts: Verdicts) -> Guarded {
+        let framing = Framing::new(verdicts);
         Guarded {
             stream,
             stall,
             timer: None,
+            framing,
         }
     }
 
@@ -56,7 +60,10 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let before = buf.filled().len();
+        let result = Pin::new(&mut self.stream).poll_read(cx, buf);
+        self.framing.read(&buf.filled()[before..]);
+        result
     }
 }
 
--- a/crates/entry/src/server/mod.rs
+++ b/crates/entry/src/server/mod.rs
@@ -1,6 +1,7 @@
 //! The listener and its end.
 
 mod error;
+mod framing;
 mod guarded;
 mod server;
 
--- a/crates/entry/src/server/server.rs
+++ b/crates/entry/src/server/server.rs
@@ -1,11 +1,15 @@
 use {
-    super::{Error, guarded::Guarded},
+    super::{Error, framing::Verdicts, guarded::Guarded},
     crate::{
         deps::Deps,
-        filter::{Context, answer},
+        filter::{Ambiguous, Context, answer},
         pool::Pool,
     },
-    hyper::{server::conn::http1, service::service_fn},
+    http::{
+        HeaderValue, Request,
+        header::{CONNECTION, TRANSFER_ENCODING},
+    },
+    hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
     indexmap::IndexMap,
     std::{
@@ -223,9 +227,15 @@
     if stream.set_nodelay(true).is_err() {
         return;
     }
-    let io = TokioIo::new(Guarded::new(stream, settings.caller_stall));
-    let service = service_fn(move |request| {
+    let verdicts = Verdicts::default();
+    let guarded = Guarded::new(stream, settings.caller_stall, verdicts.clone());
+    let io = TokioIo::new(guarded);
+    let service = service_fn(move |mut request: Request<Incoming>| {
         let shared = shared.clone();
+        if verdicts.next().unwrap_or(false) {
+            request.extensions_mut().insert(Ambiguous);
+        }
+        let chunked = request.headers().contains_key(TRANSFER_ENCODING);
         async move {
             let id = shared.next.fetch_add(1, Ordering::Relaxed);
             let now = shared.context.deps.desk.clock().now();
@@ -235,7 +245,12 @@
                 shared: shared.clone(),
                 id,
             };
-            let response = answer(shared.context.clone(), request).await;
+            let mut response = answer(shared.context.clone(), request).await;
+            if chunked {
+                // What follows such a request could be the rest of a body by another reading.
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+            }
             Ok::<_, Infallible>(response.map(|body| Tracked {
                 body,
                 _entry: entry,
--- a/crates/fake/src/upstream/behaviour.rs
+++ b/crates/fake/src/upstream/behaviour.rs
@@ -28,6 +28,8 @@
     Silent,
     /// Runs it and answers twice, the second time after this pause.
     Duplicate(Duration),
+    /// Runs it and answers twice at once, both times without the mark of the attempt.
+    DuplicateUnmarked,
     /// Runs it and answers with the mark of another attempt.
     Crossed,
     /// Runs it and answers without a length or chunks; only the end of the connection ends the body.
--- a/crates/fake/src/upstream/exchange.rs
+++ b/crates/fake/src/upstream/exchange.rs
@@ -215,6 +215,11 @@
             }
             Ok(true)
         }
+        Behaviour::DuplicateUnmarked => {
+            let bytes = [whole(200, ""), whole(200, "")].concat();
+            stream.write_all(&bytes).await?;
+            Ok(true)
+        }
         Behaviour::Crossed => {
             stream
                 .write_all(&whole(200, "x-attempt-id: another\r\n"))
--- a/crates/route/src/router/ending.rs
+++ b/crates/route/src/router/ending.rs
@@ -7,7 +7,10 @@
         queue::{Key, Waiting},
         retry::{Progress, may_resend},
     },
-    model::request::{Class, Ran},
+    model::{
+        place::permits,
+        request::{Class, Ran},
+    },
     std::time::{Duration, Instant},
 };
 
@@ -141,8 +144,19 @@
             head.deadline,
             now,
         );
-        if resend && self.retries.spend() {
-            flight.tried.push(ended.upstream.clone());
+        flight.tried.push(ended.upstream.clone());
+        let other = resend
+            && self.config.as_ref().is_some_and(|config| {
+                config.accounts.get(&head.account).is_some_and(|account| {
+                    self.seats.iter().any(|(name, seat)| {
+                        seat.usable
+                            && seat.service == head.service
+                            && permits(account, &seat.site)
+                            && !flight.tried.contains(name)
+                    })
+                })
+            });
+        if other && self.retries.spend() {
             flight.phase = Phase::Queued;
             flight.hedged = false;
             let key = Key {
