--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder.
+//! Seeded experiments on a virtual clock.
+
+pub mod requests;
