--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -1,3 +1,4 @@
-//! Seeded experiments that print the target table.
+//! Experiments that drive the decision code with seeded arrivals on a virtual clock.
 
 pub mod jobs;
+pub mod requests;
