--- a/crates/control/src/instance/handler.rs
+++ b/crates/control/src/instance/handler.rs
@@ -16,6 +16,9 @@
 /// Name of the group that keeps the configuration.
 pub(super) const CONFIG: &str = "config";
 
+/// Why a new leader does not judge yet whether shapes fit.
+const NOT_SETTLED: &str = "the leader has just changed and does not know the workers yet";
+
 /// Serves the calls of other instances.
 pub(super) struct Server(pub(super) Arc<Instance>);
 
@@ -68,13 +71,23 @@
         let Some(group) = self.groups.get(group) else {
             return Verdict::NotLeader(None);
         };
-        let query = match serde_json::from_slice(query) {
+        let query: Query = match serde_json::from_slice(query) {
             Ok(query) => query,
             Err(error) => return Verdict::NotRun(format!("malformed query: {error}")),
         };
         if let Err(refusal) = group.read().await {
             return refusal;
         }
+        if let Some(controller) = self.controllers.get(group.name()) {
+            let ready = match query {
+                Query::Check { .. } => controller.catch_up().await,
+                Query::CanRun { .. } if !controller.is_settled() => Err(NOT_SETTLED.to_owned()),
+                _ => Ok(()),
+            };
+            if let Err(reason) = ready {
+                return Verdict::NotRun(reason);
+            }
+        }
         match self.read(group, query) {
             Ok(bytes) => Verdict::Answer(bytes),
             Err(error) => Verdict::NotRun(error.to_string()),
--- a/crates/control/src/jobs/controller.rs
+++ b/crates/control/src/jobs/controller.rs
@@ -4,7 +4,7 @@
     gang::{Scheduler, Settings, Shortfall},
     model::{config::Config, job::Spec},
     std::sync::{Arc, Mutex, MutexGuard, PoisonError},
-    tokio::{task::JoinHandle, time},
+    tokio::{sync::watch, task::JoinHandle, time},
 };
 
 /// The running controller of one region group; it acts while this replica leads.
@@ -12,6 +12,8 @@
 pub struct Controller {
     context: Context,
     scheduler: Arc<Mutex<Scheduler>>,
+    /// Counts the rounds of a settled leader.
+    rounds: watch::Receiver<u64>,
     task: Arc<JoinHandle<()>>,
 }
 
@@ -19,10 +21,12 @@
     /// Starts the controller on the current runtime.
     pub fn spawn(context: Context) -> Controller {
         let scheduler = Arc::new(Mutex::new(Scheduler::new(Settings::default())));
-        let task = tokio::spawn(run(context.clone(), scheduler.clone()));
+        let (sender, rounds) = watch::channel(0);
+        let task = tokio::spawn(run(context.clone(), scheduler.clone(), sender));
         Controller {
             context,
             scheduler,
+            rounds,
             task: Arc::new(task),
         }
     }
@@ -33,6 +37,25 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Tells whether this replica leads and has led for long enough to know the workers.
+    pub fn is_settled(&self) -> bool {
+        *self.rounds.borrow() > 0
+    }
+
+    /// Waits until the scheduler knows everything that this instance heard before the call.
+    ///
+    /// Fails if this replica does not lead or has led for too short a time to know the workers.
+    pub async fn catch_up(&self) -> Result<(), String> {
+        let mut rounds = self.rounds.clone();
+        // The round in progress may have begun before the call, so the one after it is awaited.
+        let wanted = *rounds.borrow_and_update() + 2;
+        let limit = self.context.settings.settle;
+        match time::timeout(limit, rounds.wait_for(|done| *done >= wanted)).await {
+            Ok(Ok(_)) => Ok(()),
+            _ => Err("the leader has just changed and does not know the workers yet".into()),
+        }
+    }
+
     /// Why a job waits, in one line.
     pub fn explain(&self, job: u64) -> Option<String> {
         self.scheduler().explain(job)
@@ -59,17 +82,19 @@
     }
 }
 
-async fn run(context: Context, scheduler: Arc<Mutex<Scheduler>>) {
+async fn run(context: Context, scheduler: Arc<Mutex<Scheduler>>, rounds: watch::Sender<u64>) {
     let mut lead: Option<(u64, Lead)> = None;
     loop {
         time::sleep(context.settings.tick).await;
         let view = context.group.view();
-        if view.leading_since.is_none() {
+        let Some(since) = view.leading_since else {
             lead = None;
+            rounds.send_replace(0);
             continue;
-        }
+        };
         if lead.as_ref().is_none_or(|(term, _)| *term != view.term) {
             lead = None;
+            rounds.send_replace(0);
             // The barrier makes sure that everything that earlier leaders committed is applied here.
             if context.group.read().await.is_err() {
                 continue;
@@ -81,8 +106,12 @@
             );
             lead = Some((view.term, Lead::new(context.clone(), scheduler.clone())));
         }
+        let settled = context.clock.now() >= since + context.settings.settle;
         if let Some((_, lead)) = &mut lead {
-            lead.round().await;
+            lead.round(settled).await;
+            if settled {
+                rounds.send_modify(|done| *done += 1);
+            }
         }
     }
 }
--- a/crates/control/src/jobs/lead.rs
+++ b/crates/control/src/jobs/lead.rs
@@ -111,8 +111,8 @@
         self.scheduler().observe(event, now);
     }
 
-    /// One round: takes in what changed, decides, and commits the decisions.
-    pub(super) async fn round(&mut self) {
+    /// One round: takes in what changed and, once `settled`, decides and commits the decisions.
+    pub(super) async fn round(&mut self, settled: bool) {
         let now = self.context.clock.now();
         self.configure(now);
         self.hear_workers(now);
@@ -126,6 +126,9 @@
             let wall_ms = self.context.clock.wall_ms();
             self.observe(Event::Tick { wall_ms }, now);
         }
+        if !settled {
+            return;
+        }
         let decisions = self.scheduler().decide(now);
         self.commit(decisions, now).await;
         if now - self.last_expire >= EXPIRE_EVERY {
--- a/crates/control/src/jobs/settings.rs
+++ b/crates/control/src/jobs/settings.rs
@@ -15,6 +15,9 @@
     pub renew_every: Duration,
     /// Interval of the controller's loop.
     pub tick: Duration,
+    /// After a change of leader, nothing is placed or promised for this time, until the workers have
+    /// announced themselves to the new leader.
+    pub settle: Duration,
     /// A worker gets no new gang after this time without an announcement.
     pub silent_after: Duration,
 }
@@ -28,6 +31,7 @@
             start_limit: Duration::from_secs(5),
             renew_every: Duration::from_secs(3),
             tick: Duration::from_millis(25),
+            settle: Duration::from_millis(1500),
             silent_after: Duration::from_secs(3),
         }
     }
--- a/crates/fake/src/worker/worker.rs
+++ b/crates/fake/src/worker/worker.rs
@@ -60,6 +60,13 @@
         self.address
     }
 
+    /// Ends the worker as a crash would: it neither answers nor announces any more.
+    pub fn kill(&self) {
+        for task in &self.loops {
+            task.abort();
+        }
+    }
+
     /// Its tasks.
     pub fn tasks(&self) -> MutexGuard<'_, Tasks> {
         self.tasks.lock().unwrap_or_else(PoisonError::into_inner)
@@ -68,9 +75,7 @@
 
 impl Drop for Worker {
     fn drop(&mut self) {
-        for task in &self.loops {
-            task.abort();
-        }
+        self.kill();
     }
 }
 
