--- a/crates/model/src/config/config.rs
+++ b/crates/model/src/config/config.rs
@@ -59,6 +59,7 @@
                 check(name, account, &mut faults);
             }
         }
+        next.settle_homes();
         if faults.is_empty() {
             Ok(next)
         } else {
