--- a/crates/burn/src/lib.rs
+++ b/crates/burn/src/lib.rs
@@ -9,5 +9,7 @@
 
 pub use {
     ledger::{Counts, Event, Ledger, Outcome, Reason, Snapshot},
-    report::{Budget, Burn, Line, Point, Report, Severity, Source, Status, Window},
+    report::{
+        Budget, Burn, Line, Point, Report, Severity, Source, Status, Window, printable, span, utc,
+    },
 };
--- a/crates/burn/src/report/mod.rs
+++ b/crates/burn/src/report/mod.rs
@@ -14,4 +14,5 @@
     report::Report,
     source::Source,
     window::{Burn, Severity, Window},
+    words::{printable, span, utc},
 };
--- a/crates/burn/src/report/plot.rs
+++ b/crates/burn/src/report/plot.rs
@@ -49,10 +49,10 @@
     let root = SVGBackend::with_string(svg, SIZE).into_drawing_area();
     let mut chart = ChartBuilder::on(&root)
         .margin(8)
-        .x_label_area_size(34)
-        .y_label_area_size(48)
+        .x_label_area_size(40)
+        .y_label_area_size(52)
         .build_cartesian_2d(hours(buckets)..0.0, 0.0..highest * 1.05)?;
-    let label = ("sans-serif", 12).into_font().color(&INK);
+    let label = ("sans-serif", 15).into_font().color(&INK);
     chart
         .configure_mesh()
         .x_labels(7)
--- a/crates/burn/src/report/text.rs
+++ b/crates/burn/src/report/text.rs
@@ -29,13 +29,18 @@
     if !report.lines.is_empty() {
         out.push_str(&format!("{table}\n\n"));
     }
-    for line in report.lines.iter().filter(|line| !line.reasons.is_empty()) {
+    for line in report.lines.iter().filter(|line| line.events() > 0) {
         out.push_str(&format!(
-            "reasons of {}, {}: {}\n",
+            "{}, {}: counted {} of {}",
             words::clean(&line.account),
             words::objective(line),
-            words::reasons(line)
+            words::span(line.budget.counted_ms),
+            words::span(line.budget.period_ms)
         ));
+        if !line.reasons.is_empty() {
+            out.push_str(&format!("; reasons: {}", words::reasons(line)));
+        }
+        out.push('\n');
     }
     for source in &report.sources {
         out.push_str(&format!(
@@ -70,7 +75,9 @@
         line.good.to_string(),
         line.bad.to_string(),
         line.attained.map_or_else(|| "-".to_owned(), words::percent),
-        budget(line),
+        line.budget
+            .left
+            .map_or_else(|| "-".to_owned(), words::percent),
         burns.join(" "),
         words::exhaustion(line),
         status(line.status).to_owned(),
@@ -81,18 +88,6 @@
     words::rate(window.rate)
 }
 
-fn budget(line: &Line) -> String {
-    match line.budget.left {
-        None => "-".to_owned(),
-        Some(left) => format!(
-            "{} (counted {} of {})",
-            words::percent(left),
-            words::span(line.budget.counted_ms),
-            words::span(line.budget.period_ms)
-        ),
-    }
-}
-
 pub(crate) fn status(status: Status) -> &'static str {
     match status {
         Status::NoEvents => "no events",
--- a/crates/burn/src/report/words.rs
+++ b/crates/burn/src/report/words.rs
@@ -8,18 +8,18 @@
 /// Longest shown sentence, in characters.
 const MAX_SENTENCE_CHARS: usize = 400;
 
-/// Returns `text` without control characters and bounded in length. Names and reasons may come from
-/// another machine and must not move the cursor of a terminal.
 pub(crate) fn clean(text: &str) -> String {
-    bounded(text, MAX_NAME_CHARS)
+    printable(text, MAX_NAME_CHARS)
 }
 
 /// Like [`clean`], for a sentence.
 pub(crate) fn clean_long(text: &str) -> String {
-    bounded(text, MAX_SENTENCE_CHARS)
+    printable(text, MAX_SENTENCE_CHARS)
 }
 
-fn bounded(text: &str, limit: usize) -> String {
+/// Returns `text` without control characters and with at most `limit` characters. Names and reasons
+/// may come from another machine and must not move the cursor of a terminal.
+pub fn printable(text: &str, limit: usize) -> String {
     let mut shown: String = text
         .chars()
         .take(limit)
@@ -37,7 +37,8 @@
         || matches!(c, '\u{200b}'..='\u{200f}' | '\u{2028}'..='\u{202e}' | '\u{2066}'..='\u{2069}')
 }
 
-pub(crate) fn utc(ms: u64) -> String {
+/// Returns the UTC time of milliseconds since the Unix epoch.
+pub fn utc(ms: u64) -> String {
     i64::try_from(ms)
         .ok()
         .and_then(DateTime::from_timestamp_millis)
@@ -48,7 +49,7 @@
 }
 
 /// Returns a duration in its two largest units.
-pub(crate) fn span(ms: u64) -> String {
+pub fn span(ms: u64) -> String {
     let seconds = ms / 1000;
     match seconds {
         0 => format!("{ms} ms"),
