--- a/crates/burn/src/lib.rs
+++ b/crates/burn/src/lib.rs
@@ -10,6 +10,7 @@
 pub use {
     ledger::{Counts, Event, Ledger, Outcome, Reason, Snapshot},
     report::{
-        Budget, Burn, Line, Point, Report, Severity, Source, Status, Window, printable, span, utc,
+        Budget, Burn, Line, Point, Report, Severity, Source, Status, Window, printable,
+        printable_lines, span, utc,
     },
 };
--- a/crates/burn/src/report/mod.rs
+++ b/crates/burn/src/report/mod.rs
@@ -14,5 +14,5 @@
     report::Report,
     source::Source,
     window::{Burn, Severity, Window},
-    words::{printable, span, utc},
+    words::{printable, printable_lines, span, utc},
 };
--- a/crates/burn/src/report/words.rs
+++ b/crates/burn/src/report/words.rs
@@ -31,6 +31,12 @@
     shown
 }
 
+/// Like [`printable`], but keeps the ends of lines.
+pub fn printable_lines(text: &str, limit: usize) -> String {
+    let lines: Vec<String> = text.lines().map(|line| printable(line, limit)).collect();
+    lines.join("\n")
+}
+
 fn unprintable(c: char) -> bool {
     // Directional controls reorder the text around them.
     c.is_control()
--- /dev/null
+++ b/crates/cli/src/command/worker/mod.rs
@@ -0,0 +1,41 @@
+//! Workers.
+
+mod drain;
+mod list;
+mod r#return;
+
+use {
+    crate::{context::Context, error::Error},
+    argh::FromArgs,
+};
+
+/// Show workers, drain them and return them to service.
+#[derive(FromArgs, Debug)]
+#[argh(
+    subcommand,
+    name = "worker",
+    example = "trefoilvalve worker list",
+    example = "trefoilvalve worker drain NAME"
+)]
+pub(crate) struct Worker {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs, Debug)]
+#[argh(subcommand)]
+enum Command {
+    List(list::List),
+    Drain(drain::Drain),
+    Return(r#return::Return),
+}
+
+impl Worker {
+    pub(crate) async fn run(&self, context: &mut Context<'_>) -> Result<(), Error> {
+        match &self.command {
+            Command::List(command) => command.run(context).await,
+            Command::Drain(command) => command.run(context).await,
+            Command::Return(command) => command.run(context).await,
+        }
+    }
+}
--- a/crates/cli/src/demo/mod.rs
+++ b/crates/cli/src/demo/mod.rs
@@ -1,9 +1,10 @@
 //! Demonstration of the scheduler in one process.
 
-use std::process::ExitCode;
+use crate::error::Error;
 
-/// Runs the demonstration and returns the exit status of the command.
-pub fn run() -> ExitCode {
-    eprintln!("demo: not part of this build; nothing was run");
-    ExitCode::FAILURE
+/// Runs the demonstration.
+pub fn run() -> Result<(), Error> {
+    Err(Error::Refused(
+        "this build has no demonstration; nothing was run".to_owned(),
+    ))
 }
