--- a/crates/cli/src/document/document.rs
+++ b/crates/cli/src/document/document.rs
@@ -5,6 +5,7 @@
         parse_to_serde_value,
     },
     serde::de::DeserializeOwned,
+    serde_path_to_error::Segment,
     std::{fs::File, io::Read},
 };
 
@@ -90,8 +91,29 @@
 
     /// Returns the content as a `T`, or the first value that does not fit, with its line.
     pub fn read<T: DeserializeOwned>(&self) -> Result<T, Vec<Fault>> {
-        parse_to_serde_value(&self.text, &OPTIONS)
-            .map_err(|error| vec![from_parser(&self.file, &error)])
+        parse_to_serde_value(&self.text, &OPTIONS).map_err(|error| {
+            vec![
+                self.misfit::<T>()
+                    .unwrap_or_else(|| from_parser(&self.file, &error)),
+            ]
+        })
+    }
+
+    /// Finds the value that does not fit. The parser itself names only the object around it.
+    fn misfit<T: DeserializeOwned>(&self) -> Option<Fault> {
+        let value: serde_json::Value = parse_to_serde_value(&self.text, &OPTIONS).ok()?;
+        let error = serde_path_to_error::deserialize::<_, T>(value).err()?;
+        let path: Vec<String> = error
+            .path()
+            .iter()
+            .filter_map(|segment| match segment {
+                Segment::Seq { index } => Some(index.to_string()),
+                Segment::Map { key } => Some(key.clone()),
+                Segment::Enum { .. } | Segment::Unknown => None,
+            })
+            .collect();
+        let path: Vec<&str> = path.iter().map(String::as_str).collect();
+        Some(self.fault(self.outline.line(&path), error.inner().to_string()))
     }
 
     /// Adds a text property to the top-level object, on its first line so that lines stay as they are.
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -49,7 +49,8 @@
             | Error::Usage(text)
             | Error::Conflict(text)
             | Error::Unknown(text)
-            | Error::Unreachable(text) => f.write_str(text),
+            | Error::Unreachable(text) => write!(f, "trefoilvalve: {text}"),
+            // Each fault begins its line, so that editors and CI find file and line.
             Error::Faults(faults) => {
                 for fault in faults {
                     writeln!(f, "{fault}")?;
@@ -58,9 +59,15 @@
                     .iter()
                     .filter(|fault| fault.severity == Severity::Error)
                     .count();
-                write!(f, "{errors} faults; correct them and run the command again")
+                let noun = if errors == 1 { "fault" } else { "faults" };
+                write!(
+                    f,
+                    "trefoilvalve: {errors} {noun}; correct the file and run the command again"
+                )
+            }
+            Error::Output(error) => {
+                write!(f, "trefoilvalve: the output could not be written: {error}")
             }
-            Error::Output(error) => write!(f, "the output could not be written: {error}"),
         }
     }
 }
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -56,7 +56,7 @@
         Err(error) => {
             let exit = error.exit();
             if exit != Exit::Done {
-                let _ = writeln!(context.console.err, "trefoilvalve: {error}");
+                let _ = writeln!(context.console.err, "{error}");
             }
             exit
         }
