Treat a refused resend after a lost answer as unknown

Cause: the instances check some rules before they look for the key, so a refusal of the resend does not say what became of the first send. Change: answers carry whether an earlier send is in doubt; views of instances and groups match the daemon's.

--- a/crates/cli/src/api/mod.rs
+++ b/crates/cli/src/api/mod.rs
@@ -104,8 +104,8 @@
     pub site: model::place::Site,
     /// Whether it holds replicas.
     pub control: bool,
-    /// Number of the configuration that it applied.
-    pub applied: u64,
+    /// Number of the configuration that it applied, if it reported one.
+    pub applied: Option<u64>,
     /// Whether it is heard of.
     pub live: bool,
     /// Whether an operator drains it.
@@ -117,12 +117,15 @@
 pub struct Group {
     /// Its name.
     pub name: String,
-    /// Its leader, if one is known.
-    pub leader: Option<serde_json::Value>,
+    /// Name of its leader, if one is known.
+    pub leader: Option<String>,
     /// Term of the leader.
     pub term: u64,
     /// Last committed index.
     pub commit: u64,
+    /// Why the replica stopped, if it did.
+    #[serde(default)]
+    pub stopped: Option<String>,
 }
 
 /// The state of one instance.
--- a/crates/cli/src/client/attempts.rs
+++ b/crates/cli/src/client/attempts.rs
@@ -113,6 +113,11 @@
         }
     }
 
+    /// Tells whether a try that changes something may have been carried out without an answer.
+    pub fn in_doubt(&self) -> bool {
+        self.changes && self.lost
+    }
+
     /// A later "nothing was changed" does not cancel an earlier lost answer: the first send may still
     /// be carried out.
     fn verdict(&self) -> Verdict {
--- a/crates/cli/src/client/call.rs
+++ b/crates/cli/src/client/call.rs
@@ -75,6 +75,8 @@
     pub what: String,
     /// Whether the call changes something.
     pub changes: bool,
+    /// Whether an earlier send of the call may have been carried out.
+    pub doubt: bool,
 }
 
 impl Answer {
@@ -87,13 +89,22 @@
         }
     }
 
-    /// Returns the error for a refusal.
+    /// Returns the error for a refusal. A refusal of a resend says nothing about the first send, since
+    /// an instance may refuse for what it knows now before it looks for the key.
     pub fn refusal(&self) -> Error {
         let message = match Message::read(&self.body) {
             Some(read) => burn::printable(&read.message, MAX_MESSAGE_CHARS),
             None => format!("status {} without a message", self.status.as_u16()),
         };
         let (what, instance) = (self.what.clone(), self.instance.clone());
+        if self.doubt && self.status != StatusCode::CONFLICT {
+            return Error::Unknown {
+                what,
+                reason: format!(
+                    "an earlier send may have been carried out, and {instance} refused the resend: {message}"
+                ),
+            };
+        }
         if self.status == StatusCode::CONFLICT {
             Error::Conflict {
                 what,
--- a/crates/cli/src/client/client.rs
+++ b/crates/cli/src/client/client.rs
@@ -64,7 +64,12 @@
         loop {
             match attempts.step(Instant::now()) {
                 Step::Try(index, limit) => match self.attempt(call, index, limit).await {
-                    Ok(answer) => return Ok(answer),
+                    Ok(answer) => {
+                        return Ok(Answer {
+                            doubt: attempts.in_doubt(),
+                            ..answer
+                        });
+                    }
                     Err(failure) => {
                         attempts.failed(failure.seen);
                         reason = format!("{}: {}", instances[index], failure.reason);
@@ -138,6 +143,7 @@
                 instance: instance.to_string(),
                 what: call.what.clone(),
                 changes: call.changes(),
+                doubt: false,
             });
         }
         let (code, message) = match Message::read(&body) {
--- a/crates/cli/src/command/instance/list.rs
+++ b/crates/cli/src/command/instance/list.rs
@@ -32,7 +32,9 @@
                     entry.name,
                     entry.site.to_string(),
                     if entry.control { "yes" } else { "no" }.to_owned(),
-                    entry.applied.to_string(),
+                    entry
+                        .applied
+                        .map_or_else(|| "-".to_owned(), |n| n.to_string()),
                     match (entry.live, entry.draining) {
                         (false, _) => "not heard of",
                         (true, true) => "draining",
--- a/crates/cli/src/command/note/apply.rs
+++ b/crates/cli/src/command/note/apply.rs
@@ -109,6 +109,13 @@
                 burn::printable(&summary, 200),
                 self.expected
             ))),
+            Outcome::Refused { faults } if answer.doubt => Err(Error::Unknown(format!(
+                "an earlier send of {} may have been carried out, and the resend was refused: {}. Read \
+                 `trefoilvalve note history --after {}`",
+                self.file,
+                burn::printable(&faults.join("; "), 600),
+                self.expected
+            ))),
             Outcome::Refused { faults } => Err(Error::Faults(refused(document, faults))),
             Outcome::KeyReused => Err(Error::Conflict(format!(
                 "{} was not applied and nothing was changed: its key was used before for another note. \
--- a/crates/cli/src/command/note/status.rs
+++ b/crates/cli/src/command/note/status.rs
@@ -68,12 +68,15 @@
         ))?;
         for group in status.groups {
             let leader = match group.leader {
-                None | Some(Value::Null) => "no leader known".to_owned(),
-                Some(Value::String(name)) => format!("leader {name}"),
-                Some(other) => format!("leader {other}"),
+                None => "no leader known".to_owned(),
+                Some(name) => format!("leader {name}"),
+            };
+            let stopped = match group.stopped {
+                None => String::new(),
+                Some(reason) => format!("; the replica stopped: {reason}"),
             };
             context.console.line(format!(
-                "group {}: {leader}, term {}, commit {}",
+                "group {}: {leader}, term {}, commit {}{stopped}",
                 group.name, group.term, group.commit
             ))?;
         }
--- a/crates/cli/src/context.rs
+++ b/crates/cli/src/context.rs
@@ -75,8 +75,16 @@
             body: Bytes::new(),
             what,
         };
-        let answer = self.send(&call).await?;
-        Ok(answer.accept()?)
+        let result = match self.send(&call).await {
+            Ok(answer) => answer.accept().map_err(Error::from),
+            Err(error) => Err(error),
+        };
+        result.map_err(|error| match error {
+            Error::Unknown(text) => Error::Unknown(format!(
+                "{text}. Run the command again; it has the same effect however often it is run"
+            )),
+            other => other,
+        })
     }
 }
 
--- a/crates/cli/tests/notes.rs
+++ b/crates/cli/tests/notes.rs
@@ -156,3 +156,23 @@
     assert_eq!(ran.exit, Exit::Refused);
     assert!(stand.seen().is_empty());
 }
+
+/// Guards against "refused" when the first send was lost: an instance may refuse a resend for what it
+/// knows now before it looks for the key.
+#[test]
+fn does_not_call_a_refused_resend_refused() {
+    let outcome = json!({ "outcome": "refused", "faults": ["no workers"] }).to_string();
+    for refusal in [
+        Act::Answer(422, outcome),
+        error(422, "no workers"),
+        error(400, "no workers"),
+    ] {
+        let lost = Stand::start(vec![Act::Lose]);
+        let stand = Stand::start(vec![refusal.clone()]);
+        let ran = apply(&[&lost.address, &stand.address], &[]);
+        assert_eq!(ran.exit, Exit::Unknown, "{ran:?}");
+        assert!(ran.err.contains("no workers"), "{}", ran.err);
+        let ran = apply(&[&down(), &stand.address], &[]);
+        assert_eq!(ran.exit, Exit::Refused, "{ran:?}");
+    }
+}
