--- a/crates/cli/src/api/mod.rs
+++ b/crates/cli/src/api/mod.rs
@@ -79,6 +79,7 @@
     /// Whether an operator drains it.
     pub draining: bool,
     /// Whether it is quarantined for failing jobs.
+    #[serde(default)]
     pub quarantined: bool,
     /// Number of tasks that it holds.
     pub tasks: u64,
