--- a/crates/cli/src/client/attempts.rs
+++ b/crates/cli/src/client/attempts.rs
@@ -48,6 +48,7 @@
     per_try: Duration,
     end: Instant,
     next: usize,
+    round: usize,
     wait: Duration,
     waited: bool,
     tried: bool,
@@ -56,9 +57,11 @@
 }
 
 impl Attempts {
-    /// Starts tries of a call. `changes` tells whether the call changes something.
+    /// Starts tries of a call at the instance `first`. `changes` tells whether the call changes
+    /// something.
     pub fn new(
         instances: usize,
+        first: usize,
         changes: bool,
         per_try: Duration,
         total: Duration,
@@ -69,7 +72,8 @@
             changes,
             per_try,
             end: now + total,
-            next: 0,
+            next: first % instances.max(1),
+            round: 0,
             wait: FIRST_WAIT,
             waited: true,
             tried: false,
@@ -106,9 +110,10 @@
             Seen::NotRun => self.not_run = true,
             Seen::Lost => self.lost = true,
         }
-        self.next += 1;
-        if self.next >= self.instances {
-            self.next = 0;
+        self.next = (self.next + 1) % self.instances.max(1);
+        self.round += 1;
+        if self.round >= self.instances {
+            self.round = 0;
             self.waited = false;
         }
     }
--- a/crates/cli/src/client/client.rs
+++ b/crates/cli/src/client/client.rs
@@ -7,7 +7,13 @@
         client::legacy::{Client as Http, connect::HttpConnector},
         rt::TokioExecutor,
     },
-    std::time::{Duration, Instant},
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicUsize, Ordering},
+        },
+        time::{Duration, Instant},
+    },
 };
 
 /// Largest accepted answer in bytes. The list of 600 jobs a day over a week is below 6 MB.
@@ -21,6 +27,9 @@
 pub struct Client {
     settings: Settings,
     http: Http<HttpConnector, Full<Bytes>>,
+    /// Index of the instance that answered last. Later calls begin there, so that a silent instance
+    /// costs the limit of a try only once in a command.
+    last: Arc<AtomicUsize>,
 }
 
 /// The failure of one try.
@@ -42,7 +51,11 @@
             .pool_max_idle_per_host(0)
             .retry_canceled_requests(false)
             .build(connector);
-        Client { settings, http }
+        Client {
+            settings,
+            http,
+            last: Arc::default(),
+        }
     }
 
     /// Sends `call` until an instance gives a final answer or the time is over. `progress` hears of
@@ -55,6 +68,7 @@
         } = &self.settings;
         let mut attempts = Attempts::new(
             instances.len(),
+            self.last.load(Ordering::Relaxed),
             call.changes(),
             *per_try,
             *total,
@@ -65,6 +79,7 @@
             match attempts.step(Instant::now()) {
                 Step::Try(index, limit) => match self.attempt(call, index, limit).await {
                     Ok(answer) => {
+                        self.last.store(index, Ordering::Relaxed);
                         return Ok(Answer {
                             doubt: attempts.in_doubt(),
                             ..answer
--- a/crates/cli/tests/attempts.rs
+++ b/crates/cli/tests/attempts.rs
@@ -25,12 +25,13 @@
     #[test]
     fn says_nothing_was_changed_only_when_certain(
         instances in 1usize..6,
+        first in 0usize..8,
         changes in any::<bool>(),
         script in proptest::collection::vec((seen(), 0u64..5_000), 1..40),
     ) {
         let start = Instant::now();
         let mut now = start;
-        let mut attempts = Attempts::new(instances, changes, PER_TRY, TOTAL, now);
+        let mut attempts = Attempts::new(instances, first, changes, PER_TRY, TOTAL, now);
         let (mut happened, mut tried) = (Vec::new(), Vec::new());
         let mut script = script.into_iter().cycle();
         let verdict = loop {
@@ -53,7 +54,7 @@
         };
         prop_assert!(now <= start + TOTAL);
         for (position, index) in tried.iter().enumerate() {
-            prop_assert_eq!(*index, position % instances);
+            prop_assert_eq!(*index, (first + position) % instances);
         }
         let expected = if !changes {
             Verdict::Unreachable
@@ -78,7 +79,7 @@
 #[test]
 fn waits_longer_after_each_round() {
     let now = Instant::now();
-    let mut attempts = Attempts::new(1, true, PER_TRY, TOTAL, now);
+    let mut attempts = Attempts::new(1, 0, true, PER_TRY, TOTAL, now);
     let mut waits = Vec::new();
     while waits.len() < 6 {
         match attempts.step(now) {
--- a/crates/cli/tests/notes.rs
+++ b/crates/cli/tests/notes.rs
@@ -143,6 +143,17 @@
     assert!(ran.err.contains("stays accepted"), "{}", ran.err);
 }
 
+/// Guards against a silent instance that costs its time limit at each call of a command.
+#[test]
+fn keeps_to_the_instance_that_answered() {
+    let force = json!({ "number": 1, "in_force": true, "missing": [] });
+    let silent = Stand::start(vec![Act::Silent]);
+    let stand = Stand::start(vec![accepted(), Act::Answer(200, force.to_string())]);
+    let ran = apply(&[&silent.address, &stand.address], &["--wait"]);
+    assert_eq!(ran.exit, Exit::Done, "{ran:?}");
+    assert_eq!((silent.seen().len(), stand.seen().len()), (1, 2));
+}
+
 /// Guards against a faulty note reaching an instance.
 #[test]
 fn checks_before_it_sends() {
