--- a/crates/cli/src/command/job/mod.rs
+++ b/crates/cli/src/command/job/mod.rs
@@ -67,13 +67,10 @@
 
 /// Returns a state and its reason.
 fn state_text(job: &model::job::Job) -> String {
-    if job.detail.is_empty() {
-        state_word(job.state).to_owned()
+    let word = state_word(job.state);
+    if job.detail.is_empty() || job.detail == word {
+        word.to_owned()
     } else {
-        format!(
-            "{} ({})",
-            state_word(job.state),
-            burn::printable(&job.detail, 300)
-        )
+        format!("{word} ({})", burn::printable(&job.detail, 300))
     }
 }
--- a/crates/cli/src/command/upstream/list.rs
+++ b/crates/cli/src/command/upstream/list.rs
@@ -20,11 +20,12 @@
 
 impl List {
     pub(crate) async fn run(&self, context: &mut Context<'_>) -> Result<(), Error> {
-        let (raw, list): (Value, Vec<UpstreamEntry>) =
+        let (raw, mut list): (Value, Vec<UpstreamEntry>) =
             context.read("/v1/upstreams", "list upstreams").await?;
         if self.json {
             return context.console.json(&raw);
         }
+        list.sort_by_cached_key(|entry| entry.upstream.name.clone());
         let rows = list
             .into_iter()
             .map(|entry| {
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -145,6 +145,33 @@
     );
 }
 
+/// Guards against lists in the order of a hash table, in which nothing is found, and against states
+/// that are said twice.
+#[test]
+fn sorts_lists_by_name() {
+    let worker = |name: &str| {
+        json!({
+            "worker": {
+                "name": name, "site": { "region": "vestland", "data_centre": "bergen-a" },
+                "rack": "r1", "accelerators": 8, "cpus": 32, "memory_mb": 64000, "address": "x",
+            },
+            "silent_ms": 5, "draining": name == "w-2", "tasks": 0,
+        })
+    };
+    let stand = Stand::answers(200, json!([worker("w-2"), worker("w-1")]).to_string());
+    let out = run(&[&stand.address], &["worker", "list"]).out;
+    let names: Vec<&str> = out
+        .lines()
+        .skip(1)
+        .filter_map(|l| l.split_whitespace().next())
+        .collect();
+    assert_eq!(names, ["w-1", "w-2"]);
+    assert!(out.lines().nth(2).unwrap().ends_with("draining"), "{out}");
+    let stand = Stand::answers(200, entry("running", "running").to_string());
+    let out = run(&[&stand.address], &["job", "show", "vestland-12"]).out;
+    assert!(out.starts_with("vestland-12: running\n"), "{out}");
+}
+
 /// Guards against operators' changes that go to the wrong path or to a path made by a hostile name.
 #[test]
 fn drains_and_returns_by_name() {
