--- a/crates/cli/src/console/console.rs
+++ b/crates/cli/src/console/console.rs
@@ -23,10 +23,18 @@
         Ok(writeln!(self.out, "{text}")?)
     }
 
-    /// Prints a value as JSON.
+    /// Prints a value as JSON. Control characters beyond those that JSON forbids are escaped too,
+    /// since some terminals obey them.
     pub fn json(&mut self, value: &impl Serialize) -> Result<(), Error> {
         let text = serde_json::to_string_pretty(value).map_err(std::io::Error::other)?;
-        Ok(writeln!(self.out, "{text}")?)
+        let mut safe = String::with_capacity(text.len());
+        for c in text.chars() {
+            match c {
+                '\u{7f}'..='\u{9f}' => safe.push_str(&format!("\\u{:04x}", u32::from(c))),
+                _ => safe.push(c),
+            }
+        }
+        Ok(writeln!(self.out, "{safe}")?)
     }
 
     /// Prints a table, or `empty` if there are no rows.
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -130,7 +130,7 @@
         let ran = run(&[&stand.address], &[arguments, &["--json"]].concat());
         assert_eq!(ran.out, "[]\n");
     }
-    let mut newer = entry("queued", "\u{1b}[2J");
+    let mut newer = entry("queued", "\u{1b}[2J\u{9b}2J");
     newer["later"] = json!(1);
     let stand = Stand::answers(200, json!([newer]).to_string());
     assert!(
@@ -138,6 +138,10 @@
             .out
             .contains("\"later\": 1")
     );
+    let json = run(&[&stand.address], &["job", "list", "--json"]).out;
+    assert!(!json.contains(['\u{1b}', '\u{9b}']));
+    let read: Value = serde_json::from_str(&json).unwrap();
+    assert_eq!(read[0]["job"]["detail"], "\u{1b}[2J\u{9b}2J");
     let text = run(&[&stand.address], &["job", "list"]).out;
     assert!(
         text.contains("vestland-12") && !text.contains('\u{1b}'),
