Refuse bad names and classes in notes, drain instances, find resent jobs

Cause: a note with an account name that no request can carry or with an objective of a class that its measure never sees was accepted; a drained instance stayed ready; a resend of an accepted job was refused when a later note withdrew its place. Change: Config::apply checks both (the command line warned before, so its test now expects an error); follow answers carry the drain mark; the key of a job is looked up before its submission is checked.

--- a/crates/cli/src/document/check.rs
+++ b/crates/cli/src/document/check.rs
@@ -189,7 +189,7 @@
     }
 }
 
-/// Adds warnings about entries that are accepted but have no effect or cannot be named.
+/// Adds warnings about entries that are accepted but have no effect.
 fn warnings(document: &Document, note: &Note, faults: &mut Vec<Fault>) {
     let mut warn = |path: &[&str], text: String| {
         faults.push(Fault {
@@ -197,18 +197,6 @@
             ..document.fault(document.outline.line(path), text)
         });
     };
-    for name in note.add.keys() {
-        // Names of accounts follow the rule of place names.
-        if name.contains('/') || name.parse::<Place>().is_err() {
-            warn(
-                &["add", name],
-                format!(
-                    "client account `{name}`: use 1 to 64 characters of a-z, 0-9 and `-`, so that \
-                     requests and commands can name it"
-                ),
-            );
-        }
-    }
     let added = note
         .add
         .iter()
@@ -227,19 +215,8 @@
     }
 }
 
-/// Returns why an objective never counts an event, or counts none as good.
+/// Returns why an objective never counts an event as good.
 fn idle(objective: &Objective) -> Option<String> {
-    let (classes, kind): (&[&str], _) = match objective.measure {
-        Measure::JobStart | Measure::JobCompletion => (&["urgent", "standard", "sweep"], "job"),
-        Measure::Answer | Measure::Admission => (&["short", "batch"], "request"),
-    };
-    if !classes.contains(&objective.class.as_str()) {
-        return Some(format!(
-            "objective of the {kind} class `{}`, which does not exist; use one of {}",
-            objective.class,
-            classes.join(", ")
-        ));
-    }
     (objective.within_ms == 0 && objective.measure != Measure::Admission).then(|| {
         "`within_ms` is 0, so no event can be good; give the bound in milliseconds".to_owned()
     })
--- a/crates/cli/tests/documents.rs
+++ b/crates/cli/tests/documents.rs
@@ -72,7 +72,7 @@
         (
             "\"short\"",
             "\"quick\"",
-            ":14: warning: objective of the request class `quick`",
+            ":14: error: `reed.objectives[0].class` is `quick`",
         ),
     ] {
         let ran = check(&NOTE.replacen(from, to, 1), &[]);
--- a/crates/control/src/instance/handler.rs
+++ b/crates/control/src/instance/handler.rs
@@ -131,13 +131,8 @@
             }
             Query::Job { id } => encode(&state.jobs().get(id)),
             Query::Why { id } => encode(&controller.and_then(|c| c.explain(id))),
-            Query::CanRun { spec } => {
-                let known = state.jobs().find(&spec.account, &spec.key).is_some();
-                let reason = controller
-                    .filter(|_| !known)
-                    .and_then(|controller| controller.can_run(&spec).err());
-                encode(&reason)
-            }
+            Query::Known { account, key } => encode(&state.jobs().find(&account, &key).is_some()),
+            Query::CanRun { spec } => encode(&controller.and_then(|c| c.can_run(&spec).err())),
             Query::Check { config, accounts } => {
                 let shortfalls = controller.and_then(|c| c.check(&config).err());
                 let lines: Vec<String> = shortfalls
@@ -202,7 +197,17 @@
         ledger.enter(group.view().term);
         // The grant is recorded after the barrier, so its end is not earlier than the follower counts.
         ledger.grant(follower, applied, self.setup.clock.now(), lease);
-        Update::Current { lease, config }
+        let name = self
+            .setup
+            .instances
+            .get(&follower.0)
+            .map(|place| &place.name);
+        let drained = name.is_some_and(|name| group.state().drains().instances.contains(name));
+        Update::Current {
+            lease,
+            config,
+            drained,
+        }
     }
 
     fn force(&self, group: &Group, number: u64) -> Force {
--- a/crates/control/src/instance/instance.rs
+++ b/crates/control/src/instance/instance.rs
@@ -31,6 +31,7 @@
     /// Announcements to be reported, by group and worker.
     relay: Mutex<IndexMap<(String, String), Announcement>>,
     stopped: AtomicBool,
+    drained: AtomicBool,
     _folder: Option<disk::Folder>,
 }
 
@@ -101,6 +102,7 @@
             hints: Mutex::default(),
             relay: Mutex::default(),
             stopped: AtomicBool::new(false),
+            drained: AtomicBool::new(false),
             _folder: folder,
         });
         instance.peers.serve(Arc::new(Server(instance.clone())));
@@ -164,6 +166,18 @@
         lock(&self.hints)
     }
 
+    /// Whether an operator drains this instance: it serves what arrives, but asks the balancer for nothing.
+    pub fn is_drained(&self) -> bool {
+        self.drained.load(Ordering::Relaxed)
+    }
+
+    pub(super) fn set_drained(&self, drained: bool) {
+        let before = self.drained.swap(drained, Ordering::Relaxed);
+        if before != drained {
+            log::info!("event=drain_changed drained={drained}");
+        }
+    }
+
     pub(super) fn is_stopped(&self) -> bool {
         self.stopped.load(Ordering::Relaxed)
     }
--- a/crates/control/src/instance/loops.rs
+++ b/crates/control/src/instance/loops.rs
@@ -54,7 +54,12 @@
             instance.peers.follow(target, own.1, applied).await
         };
         match update {
-            Ok(Update::Current { lease, config }) => {
+            Ok(Update::Current {
+                lease,
+                config,
+                drained,
+            }) => {
+                instance.set_drained(drained);
                 instance.remember(CONFIG, target);
                 let config = config.and_then(|bytes| serde_json::from_slice(&bytes).ok());
                 let fresh = config.is_some();
--- a/crates/control/src/instance/query.rs
+++ b/crates/control/src/instance/query.rs
@@ -54,7 +54,14 @@
         /// Its id.
         id: u64,
     },
-    /// Whether the job is known or could run; an optional reason against it.
+    /// Whether a job was accepted under a key; a boolean.
+    Known {
+        /// Client account.
+        account: String,
+        /// The caller's key.
+        key: String,
+    },
+    /// Whether the job could run on the known workers; an optional reason against it.
     CanRun {
         /// What was submitted.
         spec: Box<Spec>,
--- a/crates/daemon/src/api/context.rs
+++ b/crates/daemon/src/api/context.rs
@@ -23,6 +23,8 @@
 impl Context {
     /// Whether the balancer should send requests here.
     pub fn is_ready(&self) -> bool {
-        !self.draining.load(Ordering::Relaxed) && self.instance.current().is_some()
+        !self.draining.load(Ordering::Relaxed)
+            && !self.instance.is_drained()
+            && self.instance.current().is_some()
     }
 }
--- a/crates/daemon/src/api/jobs.rs
+++ b/crates/daemon/src/api/jobs.rs
@@ -16,6 +16,7 @@
     indexmap::IndexSet,
     model::{
         account::Account,
+        config::Config,
         job::{Job, Spec, State},
         place,
         shape::Shape,
@@ -84,16 +85,19 @@
 ) -> Result<Response<Body>, HttpError> {
     let instance = &context.context().instance;
     let spec = body.into_inner();
-    let group = destination(instance, &spec)?;
-    let query = Query::CanRun {
-        spec: Box::new(spec.clone()),
+    let config = instance.current().ok_or_else(stale)?;
+    let group = destination(instance, &config, &spec)?;
+    let query = Query::Known {
+        account: spec.account.clone(),
+        key: spec.key.clone(),
     };
-    let reason: Option<String> = instance
+    let known: bool = instance
         .query(&group, &query)
         .await
         .map_err(|error| unavailable(&error))?;
-    if let Some(reason) = reason {
-        return Err(refused(format!("the job could never run: {reason}")));
+    // A resend gets the job accepted first, whatever has changed since.
+    if !known {
+        admit(instance, &config, &group, &spec).await?;
     }
     let command = Command::Submit {
         spec: Box::new(spec),
@@ -115,33 +119,40 @@
     }
 }
 
-/// Checks a submission against the configuration and returns the group that will keep the job.
-fn destination(instance: &Instance, spec: &Spec) -> Result<String, HttpError> {
-    let Some(config) = instance.current() else {
-        return Err(HttpError::for_unavail(
-            Some("NotRun".into()),
-            "this instance does not know whether its configuration is current; nothing was changed, \
-             ask another"
-                .into(),
-        ));
-    };
-    let account = config
-        .accounts
-        .get(&spec.account)
-        .ok_or_else(|| refused(format!("there is no client account `{}`", spec.account)))?;
-    check(spec, account)?;
+fn stale() -> HttpError {
+    let reason = "this instance does not know whether its configuration is current; ask another";
+    unavailable(&control::instance::Error::NotRun(reason.into()))
+}
+
+/// Returns the group that keeps the job.
+fn destination(instance: &Instance, config: &Config, spec: &Spec) -> Result<String, HttpError> {
     let region = match &spec.place {
         Some(place) => place.region(),
         None => config
             .homes
             .get(&spec.account)
-            .ok_or_else(|| refused("the client account has no home region".into()))?,
+            .ok_or_else(|| refused(format!("there is no client account `{}`", spec.account)))?,
     };
     let group = instance.home(region).ok_or_else(|| {
         refused(format!(
             "no group keeps the jobs of region {region}; see `homes` in the settings"
         ))
     })?;
+    Ok(group.to_owned())
+}
+
+/// Checks a new submission against the configuration and the known workers.
+async fn admit(
+    instance: &Instance,
+    config: &Config,
+    group: &str,
+    spec: &Spec,
+) -> Result<(), HttpError> {
+    let account = config
+        .accounts
+        .get(&spec.account)
+        .ok_or_else(|| refused(format!("there is no client account `{}`", spec.account)))?;
+    check(spec, account)?;
     let members = instance.setup().groups.get(group).into_iter().flatten();
     for id in members {
         let Some(member) = instance.setup().instances.get(id) else {
@@ -155,7 +166,17 @@
             )));
         }
     }
-    Ok(group.to_owned())
+    let query = Query::CanRun {
+        spec: Box::new(spec.clone()),
+    };
+    let reason: Option<String> = instance
+        .query(group, &query)
+        .await
+        .map_err(|error| unavailable(&error))?;
+    match reason {
+        Some(reason) => Err(refused(format!("the job could never run: {reason}"))),
+        None => Ok(()),
+    }
 }
 
 fn check(spec: &Spec, account: &Account) -> Result<(), HttpError> {
--- a/crates/model/src/account/objective.rs
+++ b/crates/model/src/account/objective.rs
@@ -17,6 +17,16 @@
     Admission,
 }
 
+impl Measure {
+    /// Classes of the jobs or requests that are measured.
+    pub fn classes(self) -> &'static [&'static str] {
+        match self {
+            Measure::JobStart | Measure::JobCompletion => &["urgent", "standard", "sweep"],
+            Measure::Answer | Measure::Admission => &["short", "batch"],
+        }
+    }
+}
+
 /// A service-level objective of a client account.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
--- a/crates/model/src/config/config.rs
+++ b/crates/model/src/config/config.rs
@@ -3,6 +3,7 @@
     crate::{
         account::Account,
         note::{Change, Note, Withdrawal},
+        place,
         shape::Shape,
     },
     indexmap::IndexMap,
@@ -137,6 +138,11 @@
 
 fn check(name: &str, account: &Account, faults: &mut Vec<Fault>) {
     let mut value = |text: String| faults.push(Fault::Value(text));
+    if !place::is_name(name) {
+        value(format!(
+            "`{name}` is not an account name; use 1 to 64 characters of a-z, 0-9 and `-`"
+        ));
+    }
     if account.places.is_empty() {
         value(format!(
             "client account `{name}` has no permitted place; list at least one"
@@ -170,6 +176,14 @@
         }
     }
     for (index, objective) in account.objectives.iter().enumerate() {
+        let classes = objective.measure.classes();
+        if !classes.contains(&objective.class.as_str()) {
+            value(format!(
+                "`{name}.objectives[{index}].class` is `{}`; this measure takes {}",
+                objective.class,
+                classes.join(", ")
+            ));
+        }
         if !(objective.target > 0.0 && objective.target < 1.0) {
             value(format!(
                 "`{name}.objectives[{index}].target` must lie between 0 and 1"
--- a/crates/model/src/place/mod.rs
+++ b/crates/model/src/place/mod.rs
@@ -5,4 +5,9 @@
 mod place;
 mod site;
 
-pub use {error::Error, permit::permits, place::Place, site::Site};
+pub use {
+    error::Error,
+    permit::permits,
+    place::{Place, is_name},
+    site::Site,
+};
--- a/crates/model/src/place/place.rs
+++ b/crates/model/src/place/place.rs
@@ -47,7 +47,7 @@
 }
 
 /// Tells whether `name` can name a region, data centre, account, worker or upstream.
-fn is_name(name: &str) -> bool {
+pub fn is_name(name: &str) -> bool {
     (1..=MAX_NAME_BYTES).contains(&name.len())
         && name
             .bytes()
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -42,6 +42,8 @@
     current :group {
       leaseMs @0 :UInt32;
       config @1 :Data;
+      # Whether an operator drains the follower.
+      drained @3 :Bool;
     }
     # The id of the instance that leads, 0 if not known.
     notLeader @2 :UInt64;
--- a/crates/wire/src/update.rs
+++ b/crates/wire/src/update.rs
@@ -9,6 +9,8 @@
         lease: Duration,
         /// JSON of the configuration if the follower's number is older.
         config: Option<Vec<u8>>,
+        /// Whether an operator drains the follower.
+        drained: bool,
     },
     /// The instance asked does not lead; the id of the one that does, if known.
     NotLeader(Option<u64>),
@@ -18,9 +20,14 @@
     /// Writes the update into a message.
     pub fn write(&self, mut builder: peer_capnp::update::Builder<'_>) {
         match self {
-            Update::Current { lease, config } => {
+            Update::Current {
+                lease,
+                config,
+                drained,
+            } => {
                 let mut current = builder.init_current();
                 current.set_lease_ms(u32::try_from(lease.as_millis()).unwrap_or(u32::MAX));
+                current.set_drained(*drained);
                 if let Some(config) = config {
                     current.set_config(config);
                 }
@@ -38,6 +45,7 @@
                 Update::Current {
                     lease: Duration::from_millis(u64::from(current.get_lease_ms())),
                     config: (!config.is_empty()).then(|| config.to_vec()),
+                    drained: current.get_drained(),
                 }
             }
             Which::NotLeader(0) => Update::NotLeader(None),
