--- a/crates/disk/tests/full.rs
+++ b/crates/disk/tests/full.rs
@@ -6,8 +6,9 @@
     common::{GROUP, Model, Step, open, reopen},
     disk::{
         Error, Folder, Store,
-        fs::{Loss, Memory},
+        fs::{Fault, Loss, Memory},
     },
+    std::io::ErrorKind,
 };
 
 const MIB: u64 = 1 << 20;
@@ -93,6 +94,32 @@
     assert!(reopen(&memory, Loss::Unsynced).unwrap() == model.durable);
 }
 
+/// Guards against a snapshot that is reported as saved and is not durable when there is no space
+/// for the next segment, and against entries that follow it in the old one.
+#[test]
+fn snapshot_is_durable_without_space_for_a_segment() {
+    let memory = Memory::new();
+    let (mut store, _) = open(&memory).unwrap();
+    let mut model = Model::default();
+    model.run(&mut store, &Step::Append(2, 1, 100)).unwrap();
+    model.run(&mut store, &Step::Sync).unwrap();
+    // A snapshot creates, writes four parts, syncs, renames and syncs the folder.
+    let segment = memory.operations() + 8;
+    for operation in segment..segment + 10 {
+        memory.inject(operation, Fault::Error(ErrorKind::StorageFull));
+    }
+    model.run(&mut store, &Step::Save(9, 2)).unwrap();
+    let refused = model.run(&mut store, &Step::Append(1, 2, 100));
+    assert!(is_full(refused), "a segment was started");
+    drop(store);
+    assert_eq!(reopen(&memory, Loss::Unsynced).unwrap(), model.durable);
+    let (mut store, _) = open(&memory).unwrap();
+    model.run(&mut store, &Step::Append(1, 2, 100)).unwrap();
+    model.run(&mut store, &Step::Sync).unwrap();
+    drop(store);
+    assert_eq!(reopen(&memory, Loss::Unsynced).unwrap(), model.durable);
+}
+
 /// Guards against a full disk that prevents a restart.
 #[test]
 fn store_opens_on_a_full_disk() {
