Refuse to start a store whose files were removed

A store without files started empty under the old identity, so that a member would have forgotten its vote. A file beside the group's folder now proves that the store was created. The worker lease may be as short as 3 s.

--- a/crates/disk/src/format/header.rs
+++ b/crates/disk/src/format/header.rs
@@ -18,6 +18,8 @@
     Segment = 2,
     /// A snapshot.
     Snapshot = 3,
+    /// The proof that a group's store was created.
+    Created = 4,
 }
 
 /// The first bytes of every file. All fields are known before the file is read, so that a file of
--- a/crates/disk/src/fs/disk.rs
+++ b/crates/disk/src/fs/disk.rs
@@ -213,18 +213,20 @@
         self.power_cut = false;
         self.faults.clear();
         self.locks.clear();
-        let kept = match loss {
+        let seed = match loss {
             Loss::Nothing => return,
-            Loss::Unsynced => 0,
-            // A journal keeps changes of names in order, so a prefix of them survives.
-            Loss::Some(seed) => (mix(seed) % (self.changes.len() as u64 + 1)) as usize,
+            Loss::Unsynced => None,
+            Loss::Some(seed) => Some(seed),
         };
-        for change in self.changes.drain(..).take(kept) {
-            change.apply(&mut self.durable_names);
+        for (number, change) in self.changes.drain(..).enumerate() {
+            // Changes of names reach the disk in any order until they are synced.
+            if seed.is_some_and(|seed| mix(seed ^ (number as u64 + 1)).is_multiple_of(2)) {
+                change.apply(&mut self.durable_names);
+            }
         }
         self.names.clone_from(&self.durable_names);
         for (number, inode) in self.inodes.iter_mut().enumerate() {
-            if let Loss::Some(seed) = loss {
+            if let Some(seed) = seed {
                 inode.write_some(mix(seed ^ ((number as u64) << 32)));
             }
             inode.content.clone_from(&inode.durable);
--- a/crates/disk/src/store/files.rs
+++ b/crates/disk/src/store/files.rs
@@ -14,6 +14,7 @@
 const SNAPSHOT: &str = "snapshot-";
 const TEMPORARY: &str = ".tmp";
 const RESERVE: &str = "reserve";
+const CREATED: &str = "created-";
 
 /// The folder of a group and the names in it.
 pub struct Files {
@@ -47,6 +48,11 @@
         }
     }
 
+    /// The file that exists once the store of `name` has been created.
+    pub fn created(data_folder: &Path, name: &str) -> PathBuf {
+        data_folder.join(format!("{CREATED}{name}"))
+    }
+
     pub fn segment(&self, sequence: u64) -> PathBuf {
         self.folder.join(format!("{SEGMENT}{sequence:020}"))
     }
--- a/crates/disk/src/store/mod.rs
+++ b/crates/disk/src/store/mod.rs
@@ -4,6 +4,7 @@
 mod bounds;
 mod claim;
 mod contents;
+mod created;
 mod files;
 mod loaded;
 mod replay;
--- a/crates/disk/src/store/store.rs
+++ b/crates/disk/src/store/store.rs
@@ -7,8 +7,9 @@
             MAX_PENDING_BYTES, MAX_SNAPSHOT_BYTES, SEGMENT_BYTES,
         },
         claim::Claim,
+        created::Created,
         files::Files,
-        loaded::Loaded,
+        loaded::{Loaded, damaged},
         reserve::Reserve,
         snapshot,
         terms::Terms,
@@ -85,6 +86,10 @@
         sync_folder(&files, &files.folder)?;
         let listing = files.list()?;
         let loaded = Loaded::read(&files, &listing)?;
+        let created = Created::open(shared, group)?;
+        if loaded.segments.is_empty() && created.exists() {
+            return Err(damaged(&files.folder, 0, "the log is missing"));
+        }
         // Temporary files belong to writes that were never reported as done.
         for name in &listing.temporary {
             let path = files.folder.join(name);
@@ -95,9 +100,12 @@
             files.fs.remove(&path).map_err(Error::io("remove", &path))?;
             sync_folder(&files, &files.folder)?;
         }
-        Store::assemble(files, loaded, listing.reserve, claim)
+        let (store, contents) = Store::assemble(files, loaded, listing.reserve, claim)?;
+        created.write(&store.files)?;
+        Ok((store, contents))
     }
 
+    /// Starts from what was found on the disk.
     fn assemble(
         files: Files,
         loaded: Loaded,
--- a/crates/disk/tests/crash.rs
+++ b/crates/disk/tests/crash.rs
@@ -74,13 +74,19 @@
         Append(1, 1, 3 << 20),
         Append(1, 1, 3 << 20),
         Sync,
+        Append(1, 1, 4 << 20),
+        Sync,
         Append(1, 1, 100),
         Sync,
-        Save(2, 1),
+        // Covers two closed segments, which are removed one after the other.
+        Save(3, 1),
         Append(1, 1, 100),
         Sync,
     ];
-    cut_everywhere(&steps, &[Loss::Unsynced, Loss::Some(1)]);
+    cut_everywhere(
+        &steps,
+        &[Loss::Unsynced, Loss::Some(1), Loss::Some(2), Loss::Some(3)],
+    );
 }
 
 /// Guards against a store that goes on after a failed sync, and against a restart that takes bytes
--- a/crates/disk/tests/damage.rs
+++ b/crates/disk/tests/damage.rs
@@ -163,6 +163,20 @@
     assert!(open(&memory).unwrap().1 == held);
 }
 
+/// Guards against a member that starts empty under its old identity after its files were removed,
+/// and so forgets its vote.
+#[test]
+fn removed_group_refuses_the_start() {
+    use Step::*;
+    let (memory, _) = written(&[Append(1, 1, 10), Sync]);
+    for path in memory.files() {
+        if path.parent().unwrap().ends_with("config") {
+            memory.replace(path, None);
+        }
+    }
+    assert!(matches!(open(&memory), Err(Error::Damaged { .. })));
+}
+
 /// Guards against files of another group or another disk that are taken for own ones, and against
 /// a format that a later version wrote.
 #[test]
--- a/crates/disk/tests/real.rs
+++ b/crates/disk/tests/real.rs
@@ -87,6 +87,14 @@
     Store::open(&folder, "config").unwrap();
 }
 
+/// Guards against a store that cannot be moved to a thread of its own.
+#[test]
+fn folder_and_store_can_be_sent_to_a_thread() {
+    fn is_send<T: Send>() {}
+    is_send::<Folder>();
+    is_send::<Store>();
+}
+
 /// Guards against a group name that leaves the data folder.
 #[test]
 fn group_names_are_checked() {
--- a/crates/settings/src/key/keys.rs
+++ b/crates/settings/src/key/keys.rs
@@ -86,7 +86,8 @@
     ),
     optional(
         "timing.worker_lease",
-        time(15_000, 5_000, 120_000),
+        // A worker counts as silent after three announcement intervals of 1 s.
+        time(15_000, 3_000, 120_000),
         "\"15s\"",
     ),
     optional(
