Keep proof sets across job ends and void places kept for refused reclaims

Change: ended jobs leave their set to the guarantee; a refused reclaim voids the places that counted on it; ripening leaves kept places out; urgent work may displace other work of its account under the same guarantee; standard work that can be stopped borrows first.

--- a/crates/gang/src/scheduler/admit.rs
+++ b/crates/gang/src/scheduler/admit.rs
@@ -123,16 +123,23 @@
         options.into_iter().map(|(.., nth)| nth).collect()
     }
 
-    /// Collects firm work again where needed, proves the guarantees and reports what is owed.
-    pub(crate) fn refresh(&mut self, out: &mut Vec<Decision>) {
+    /// Collects firm work again where needed and proves the guarantees.
+    pub(crate) fn refresh(&mut self) {
         if self.firm.is_none() {
             let firm = self.collect(&self.config);
-            self.proof = self.prover(&self.config).prove(&firm, &self.proof);
+            let proof = self.prover(&self.config).prove(&firm, &self.proof);
+            if proof.missing != self.proof.missing {
+                self.epoch += 1;
+            }
+            self.proof = proof;
             self.firm = Some(firm);
         }
+    }
+
+    /// Reports what is owed when that has changed.
+    pub(crate) fn tell(&mut self, out: &mut Vec<Decision>) {
         if self.told != self.proof.missing && !self.planted(Fault::HideOwed) {
             self.told = self.proof.missing.clone();
-            self.epoch += 1;
             out.push(Decision::Owed {
                 shortfalls: self.told.clone(),
             });
--- a/crates/gang/src/scheduler/claim.rs
+++ b/crates/gang/src/scheduler/claim.rs
@@ -17,8 +17,9 @@
 
 impl Scheduler {
     /// Places the jobs that may claim an unused guarantee. Sweeps never claim: they would keep the
-    /// guarantee from the urgent work of the same account.
-    pub(crate) fn claims(&mut self, turn: &mut Turn) {
+    /// guarantee from the urgent work of the same account. Standard work that can be stopped claims
+    /// last, when it found no other place, for the same reason.
+    pub(crate) fn claims(&mut self, last: bool, turn: &mut Turn) {
         let guaranteed = |account: u32| {
             self.account(account)
                 .is_some_and(|a| !a.guarantees.is_empty())
@@ -41,6 +42,9 @@
                     .bookings
                     .get(&key.1)
                     .is_some_and(|booking| !booking.is_soft());
+                if last != (class == Class::Standard && record.is_stoppable()) {
+                    break;
+                }
                 if booked || self.give_up(key.1, turn) || self.claim(key.1, turn) {
                     next = self.queue.after(account, class, &ask, key);
                 }
@@ -61,11 +65,17 @@
             return false;
         };
         let permitted = self.centres(name, record.place.as_ref());
+        let urgent = record.class == Class::Urgent;
         let mut options = Vec::new();
+        let mut full = Vec::new();
         for (nth, (name, guarantee)) in account.guarantees.iter().enumerate() {
             let slot = (index as u32, nth as u32);
             let used = self.firm.as_ref().map_or(0, |firm| firm.used(slot));
-            if !covers(&guarantee.shape, &record.shape) || used >= usize::from(guarantee.count) {
+            if !covers(&guarantee.shape, &record.shape) {
+                continue;
+            }
+            if used >= usize::from(guarantee.count) {
+                full.push(slot);
                 continue;
             }
             let mut centres = permitted.clone();
@@ -82,9 +92,33 @@
             ));
         }
         options.sort_by_key(|(size, slot, ..)| (*size, *slot));
-        options.into_iter().any(|(_, slot, name, shape, centres)| {
+        let claimed = options.into_iter().any(|(_, slot, name, shape, centres)| {
             self.claim_slot(id, slot, &name, &shape, &centres, turn)
-        })
+        });
+        if !claimed && urgent {
+            self.displace(id, &full, turn);
+        }
+        claimed
+    }
+
+    /// Stops standard work of the same account that uses up a guarantee, for urgent work; the claim
+    /// follows when the guarantee is unused.
+    fn displace(&mut self, id: u64, full: &[Slot], turn: &mut Turn) {
+        let counted = self.firm.iter().flat_map(|firm| &firm.counted);
+        let victim = counted
+            .filter(|counted| full.contains(&counted.slot))
+            .filter_map(|counted| Some((counted.job, self.jobs.get(&counted.job)?)))
+            .filter(|(_, record)| {
+                record.class != Class::Urgent
+                    && record.is_stoppable()
+                    && record.phase == Phase::Held
+            })
+            .min_by_key(|(job, record)| (record.loss(), *job));
+        if let Some((victim, _)) = victim {
+            self.reclaim(victim, Reason::Claim { job: id }, &mut turn.out);
+            self.refresh();
+            turn.closed = self.closed();
+        }
     }
 
     fn claim_slot(
@@ -245,6 +279,7 @@
         turn: &mut Turn,
     ) {
         if kind != Kind::Starving {
+            self.drop_soft(id, &parts);
             parts.iter().for_each(|part| turn.view.hold(part));
         }
         for victim in victims {
@@ -300,12 +335,29 @@
         for record in self.jobs.values().filter(|record| record.is_ending()) {
             record.parts.iter().for_each(|part| free.free(part));
         }
+        self.hold_firm(&mut free);
+        free
+    }
+
+    /// Takes the accelerators kept for jobs that will start out of `room`.
+    pub(crate) fn hold_firm(&self, room: &mut Room) {
         for booking in self.bookings.values().filter(|booking| !booking.is_soft()) {
             for part in &booking.parts {
-                let space = &mut free.0[part.machine as usize];
+                let space = &mut room.0[part.machine as usize];
                 space.mask = space.mask.without(part.mask);
             }
         }
-        free
+    }
+
+    /// Gives up reservations on which work now runs that does not give way.
+    pub(crate) fn drop_soft(&mut self, id: u64, parts: &[Part]) {
+        self.bookings.retain(|other, booking| {
+            let meets = booking.parts.iter().any(|part| {
+                parts
+                    .iter()
+                    .any(|new| new.machine == part.machine && new.mask.meets(part.mask))
+            });
+            *other == id || !booking.is_soft() || !meets
+        });
     }
 }
--- a/crates/gang/src/scheduler/decide.rs
+++ b/crates/gang/src/scheduler/decide.rs
@@ -54,7 +54,7 @@
         let mut out = Vec::new();
         self.withdraw(&mut out);
         self.judge(now, &mut out);
-        self.refresh(&mut out);
+        self.refresh();
         let mut turn = Turn {
             now,
             view: self.view(),
@@ -63,10 +63,12 @@
             out,
         };
         self.progress(&mut turn);
-        self.claims(&mut turn);
+        self.claims(false, &mut turn);
         self.serve_queues(&mut turn);
+        self.claims(true, &mut turn);
         self.reserve(&mut turn);
         self.compact(&mut turn);
+        self.tell(&mut turn.out);
         turn.out
     }
 
--- a/crates/gang/src/scheduler/job.rs
+++ b/crates/gang/src/scheduler/job.rs
@@ -239,9 +239,17 @@
             return;
         };
         if record.asked.take().is_some() {
-            self.firm = None;
+            // The job stays; places that were kept in the expectation that it goes are void.
+            let machines: Vec<_> = record.parts.iter().map(|part| part.machine).collect();
+            self.bookings.retain(|_, booking| {
+                booking.is_soft() || booking.parts.iter().all(|p| !machines.contains(&p.machine))
+            });
+            self.changed();
             self.recheck = true;
         }
+        let Some(record) = self.jobs.get(&id) else {
+            return;
+        };
         match record.phase {
             Phase::Proposed => {
                 self.release(id);
--- a/crates/gang/src/scheduler/place.rs
+++ b/crates/gang/src/scheduler/place.rs
@@ -42,6 +42,9 @@
         }
         self.dequeue(id);
         self.bookings.remove(&id);
+        if guarantee.is_some() {
+            self.drop_soft(id, &parts);
+        }
         self.hold(id, parts, Phase::Proposed, turn.now);
         if let Some(record) = self.jobs.get_mut(&id) {
             record.borrowed = guarantee.is_none();
--- a/crates/gang/src/scheduler/progress.rs
+++ b/crates/gang/src/scheduler/progress.rs
@@ -91,9 +91,8 @@
         self.epoch += 1;
         if !booking.is_soft() {
             self.firm = None;
-            let proposed = turn.out.len();
-            self.refresh(&mut turn.out);
-            debug_assert!(turn.out.len() <= proposed + 1);
+            self.refresh();
+            turn.closed = self.closed();
             turn.view = self.view();
         }
     }
@@ -131,7 +130,6 @@
             return;
         }
         let mut room = turn.view.clone();
-        self.hold_soft(id, &mut room);
         let mut victims = BTreeSet::new();
         for (other, record) in &self.jobs {
             let touches = record.parts.iter().any(|held| {
@@ -160,6 +158,9 @@
                 }
             }
         }
+        // Work that ends may do so for another kept place.
+        self.hold_firm(&mut room);
+        self.hold_soft(id, &mut room);
         if !fits(&room, &booking) {
             return;
         }
