--- a/crates/gang/src/proof/mod.rs
+++ b/crates/gang/src/proof/mod.rs
@@ -7,7 +7,7 @@
 mod prove;
 
 pub use {
-    cover::{covers, spread, tightened},
+    cover::{covers, is_whole, spread, tightened},
     firm::{Counted, Firm},
     matching::{Candidate, assign},
     proof::{Proof, Proved, Set, Slot},
--- a/crates/gang/src/scheduler/admit.rs
+++ b/crates/gang/src/scheduler/admit.rs
@@ -110,7 +110,7 @@
             .iter()
             .enumerate()
             .filter(|(_, (_, guarantee))| {
-                covers(&guarantee.shape, &record.shape)
+                covers(&guarantee.shape, &record.shape, record.is_stoppable())
                     && adjacency <= guarantee.shape.adjacency
                     && guarantee.place.contains(site)
             })
--- a/crates/gang/src/scheduler/claim.rs
+++ b/crates/gang/src/scheduler/claim.rs
@@ -4,7 +4,7 @@
         Reason,
         fault::Fault,
         fleet::{Filter, Part, Room, pack},
-        proof::{Slot, covers, tightened},
+        proof::{Slot, covers, is_whole, tightened},
         reclaim::{Booking, Holders, Kind, Search},
         record::{Phase, Record},
     },
@@ -65,17 +65,16 @@
             return false;
         };
         let permitted = self.centres(name, record.place.as_ref());
-        let urgent = record.class == Class::Urgent;
         let mut options = Vec::new();
         let mut full = Vec::new();
         for (nth, (name, guarantee)) in account.guarantees.iter().enumerate() {
             let slot = (index as u32, nth as u32);
             let used = self.firm.as_ref().map_or(0, |firm| firm.used(slot));
-            if !covers(&guarantee.shape, &record.shape) {
+            if !covers(&guarantee.shape, &record.shape, record.is_stoppable()) {
                 continue;
             }
             if used >= usize::from(guarantee.count) {
-                full.push(slot);
+                full.push((slot, is_whole(&guarantee.shape, &record.shape)));
                 continue;
             }
             let mut centres = permitted.clone();
@@ -95,23 +94,28 @@
         let claimed = options.into_iter().any(|(_, slot, name, shape, centres)| {
             self.claim_slot(id, slot, &name, &shape, &centres, turn)
         });
-        if !claimed && urgent {
+        if !claimed {
             self.displace(id, &full, turn);
         }
         claimed
     }
 
-    /// Stops standard work of the same account that uses up a guarantee, for urgent work; the claim
-    /// follows when the guarantee is unused.
-    fn displace(&mut self, id: u64, full: &[Slot], turn: &mut Turn) {
+    /// Stops other work of the same account that uses up a guarantee: less urgent work, and smaller
+    /// gangs for a gang of the whole guaranteed shape. The claim follows when the guarantee is unused.
+    fn displace(&mut self, id: u64, full: &[(Slot, bool)], turn: &mut Turn) {
+        let Some(claimant) = self.jobs.get(&id) else {
+            return;
+        };
         let counted = self.firm.iter().flat_map(|firm| &firm.counted);
         let victim = counted
-            .filter(|counted| full.contains(&counted.slot))
-            .filter_map(|counted| Some((counted.job, self.jobs.get(&counted.job)?)))
-            .filter(|(_, record)| {
-                record.class != Class::Urgent
-                    && record.is_stoppable()
-                    && record.phase == Phase::Held
+            .filter_map(|counted| {
+                let (_, whole) = full.iter().find(|(slot, _)| *slot == counted.slot)?;
+                let record = self.jobs.get(&counted.job)?;
+                let smaller = *whole && record.accelerators() < claimant.accelerators();
+                let before =
+                    claimant.class < record.class || (claimant.class == record.class && smaller);
+                (before && record.is_stoppable() && record.phase == Phase::Held)
+                    .then_some((counted.job, record))
             })
             .min_by_key(|(job, record)| (record.loss(), *job));
         if let Some((victim, _)) = victim {
--- a/crates/gang/src/scheduler/scheduler.rs
+++ b/crates/gang/src/scheduler/scheduler.rs
@@ -168,13 +168,14 @@
         self.proof.sets.iter().filter_map(proved).collect()
     }
 
-    /// Places reserved for starving gangs. Stoppable work may run there until the gang can start.
-    pub fn reservations(&self) -> Vec<(u64, Vec<Member>)> {
+    /// Places reserved for starving gangs, by job, with the time of the reservation. Stoppable work
+    /// may run there until the gang can start.
+    pub fn reservations(&self) -> Vec<(u64, Instant, Vec<Member>)> {
         let soft = self
             .bookings
             .iter()
             .filter(|(_, booking)| booking.is_soft());
-        soft.map(|(job, booking)| (*job, self.members(&booking.parts)))
+        soft.map(|(job, booking)| (*job, booking.since, self.members(&booking.parts)))
             .collect()
     }
 
