Report demand per account instead of per queue length

Shares followed queue lengths averaged over all upstreams, so instances held slots in regions that they did not need, and an instance with a small share refused more and never got a larger one. Demand is now the offered work per account, spread over the upstreams permitted to it.

--- a/crates/route/src/queue/queues.rs
+++ b/crates/route/src/queue/queues.rs
@@ -260,6 +260,14 @@
             .sum()
     }
 
+    /// The number of requests in each queue.
+    pub fn lengths(&self) -> Vec<(Key, usize)> {
+        let lanes = self.lanes.iter();
+        lanes
+            .map(|(key, lane)| (key.clone(), lane.waiting.len()))
+            .collect()
+    }
+
     /// Iterates over the waiting requests.
     pub fn iter(&self) -> impl Iterator<Item = (&Key, Waiting)> {
         self.lanes.iter().flat_map(|(key, lane)| {
--- a/crates/route/src/router/demand.rs
+++ b/crates/route/src/router/demand.rs
@@ -1,20 +1,30 @@
 use {
-    super::Router,
+    super::{Router, seat::Seat},
     crate::{
         member::{Delta, Members},
         share::{Holder, Report, Supply},
     },
     indexmap::IndexMap,
-    model::request::Class,
-    std::time::Instant,
+    model::place::permits,
+    std::time::{Duration, Instant},
 };
 
 /// Demand per upstream that an idle instance reports, in hundredths of a slot, so that its first requests
-/// find a share.
-const IDLE_WANT: f64 = 25.0;
+/// find a share: in its own region, and in others.
+const IDLE_WANT: (f64, f64) = (25.0, 5.0);
 
 /// Weight of the latest demand in the reported one. Reported demand that jumps moves shares to and fro.
-const GAIN: f64 = 0.5;
+const GAIN: f64 = 0.3;
+
+/// Part of an account's demand that is reported for other regions although its own has upstreams, for the
+/// requests that spill over.
+const SPILL_PART: f64 = 0.05;
+
+/// Time in which the queues are meant to drain.
+const DRAIN: Duration = Duration::from_secs(2);
+
+/// Least time between two updates of the smoothed demand.
+const UPDATE: Duration = Duration::from_millis(250);
 
 /// Messages to other instances.
 impl Router {
@@ -27,32 +37,49 @@
     /// [`Router::regions`].
     pub fn report(&mut self, region: &str, now: Instant) -> Report {
         self.refresh(now);
-        let mut services: IndexMap<String, (f64, f64)> = IndexMap::new();
-        for seat in self.seats.values() {
-            let entry = services.entry(seat.service.clone()).or_default();
-            entry.0 += f64::from(seat.busy);
-            entry.1 += f64::from(u8::from(seat.usable));
-        }
-        for (service, (busy, _)) in &mut services {
-            let queued = self.queues.waiting(Class::Short, service)
-                + self.queues.waiting(Class::Batch, service);
-            let demand = *busy + queued as f64;
-            let smooth = self.demand.entry(service.clone()).or_insert(demand);
-            *smooth += GAIN * (demand - *smooth);
-            *busy = *smooth;
+        self.update_demand(now);
+        let (own, other) = if self.draining { (0.0, 0.0) } else { IDLE_WANT };
+        let home = self.settings.site.region.clone();
+        let mut wants: Vec<f64> = self
+            .seats
+            .values()
+            .map(|seat| if seat.site.region == home { own } else { other })
+            .collect();
+        for ((account, service), (_, demand)) in &self.demand {
+            let config = self.config.as_ref();
+            let Some(account) = config.and_then(|config| config.accounts.get(account)) else {
+                continue;
+            };
+            let fits = |seat: &Seat| {
+                seat.usable && seat.service == *service && permits(account, &seat.site)
+            };
+            let count = |local: bool| {
+                let seats = self.seats.values();
+                seats
+                    .filter(|seat| fits(seat) && (seat.site.region == home) == local)
+                    .count() as f64
+            };
+            let (near, far) = (count(true), count(false));
+            let far_part = if near > 0.0 { SPILL_PART } else { 1.0 };
+            for (want, seat) in wants.iter_mut().zip(self.seats.values()) {
+                if !fits(seat) {
+                    continue;
+                }
+                *want += 100.0
+                    * if seat.site.region == home {
+                        demand / near
+                    } else {
+                        demand * far_part / far
+                    };
+            }
         }
-        let idle = if self.draining { 0.0 } else { IDLE_WANT };
         let rows: Vec<(String, u16, u32)> = self
             .seats
             .iter()
-            .filter(|(_, seat)| seat.site.region == region)
-            .map(|(name, seat)| {
-                let (demand, upstreams) = services.get(&seat.service).copied().unwrap_or_default();
-                let want = if seat.usable {
-                    idle + 100.0 * demand / upstreams.max(1.0)
-                } else {
-                    0.0
-                };
+            .zip(wants)
+            .filter(|((_, seat), _)| seat.site.region == region)
+            .map(|((name, seat), want)| {
+                let want = if seat.usable { want } else { 0.0 };
                 (name.clone(), seat.busy, want as u32)
             })
             .collect();
@@ -91,6 +118,36 @@
         &self.members
     }
 
+    /// Smooths per account and service the slots that the offered work and the queued work need.
+    ///
+    /// Work counts when it is offered, not when it is let in: an instance with a small share refuses more,
+    /// and would never get a larger one.
+    fn update_demand(&mut self, now: Instant) {
+        let elapsed = match self.demand_at {
+            Some(at) => now.duration_since(at),
+            None => UPDATE,
+        };
+        if elapsed < UPDATE {
+            return;
+        }
+        self.demand_at = Some(now);
+        let mut queued: IndexMap<(String, String), f64> = IndexMap::new();
+        for (key, count) in self.queues.lengths() {
+            let mean = self.latency(&key.service, key.class).mean().as_secs_f64();
+            *queued.entry((key.account, key.service)).or_default() += count as f64 * mean;
+        }
+        for key in queued.keys() {
+            self.demand.entry(key.clone()).or_default();
+        }
+        for (key, (offered, smooth)) in &mut self.demand {
+            let waiting = queued.get(key).copied().unwrap_or(0.0);
+            let next = *offered / elapsed.as_secs_f64() + waiting / DRAIN.as_secs_f64();
+            *smooth += GAIN * (next - *smooth);
+            *offered = 0.0;
+        }
+        self.demand.retain(|_, (_, smooth)| *smooth > 1e-4);
+    }
+
     pub(super) fn holder(&mut self, region: &str, now: Instant) -> &mut Holder {
         let (instance, boot) = (self.settings.instance, self.settings.boot);
         self.holders
--- a/crates/route/src/router/router.rs
+++ b/crates/route/src/router/router.rs
@@ -26,7 +26,10 @@
     pub(super) holders: IndexMap<String, Holder>,
     pub(super) queues: Queues,
     pub(super) seats: IndexMap<String, Seat>,
-    pub(super) demand: IndexMap<String, f64>,
+    /// Per account and service: work offered since the last report in slot seconds, and the smoothed demand
+    /// in slots.
+    pub(super) demand: IndexMap<(String, String), (f64, f64)>,
+    pub(super) demand_at: Option<Instant>,
     pub(super) draining: bool,
     pub(super) config: Option<Arc<Config>>,
     pub(super) flights: HashMap<u64, Flight>,
@@ -53,6 +56,7 @@
             queues: Queues::new(settings.queues.clone()),
             seats: IndexMap::new(),
             demand: IndexMap::new(),
+            demand_at: None,
             draining: false,
             config: None,
             flights: HashMap::new(),
@@ -97,6 +101,9 @@
         if !placed {
             return refuse(Reason::Place, Some(Duration::from_secs(1)));
         }
+        let work = self.latency(&head.service, head.class).mean().as_secs_f64();
+        let demand_key = (head.account.clone(), head.service.clone());
+        self.demand.entry(demand_key).or_default().0 += work;
         let idempotent = head.idempotent;
         self.deadlines.insert((head.deadline, request));
         self.flights.insert(
