Bound the wait of short work while its queue stands

At 3 x capacity the queues stood near the deadline, so slots ran work that missed it. A queue that was not short for 500 ms now admits one service time of wait.

--- a/crates/route/src/limit/mod.rs
+++ b/crates/route/src/limit/mod.rs
@@ -3,9 +3,11 @@
 mod latency;
 mod pace;
 mod predict;
+mod standing;
 
 pub use {
     latency::Latency,
     pace::Pace,
     predict::{Forecast, Verdict, judge},
+    standing::Standing,
 };
--- a/crates/route/src/router/admission.rs
+++ b/crates/route/src/router/admission.rs
@@ -1,7 +1,7 @@
 use {
     super::{Action, Reason, Router, TICK, flight::Phase, seat::Seat},
     crate::{
-        limit::{Forecast, Latency, Pace, Verdict, judge},
+        limit::{Forecast, Latency, Pace, Standing, Verdict, judge},
         queue::{Key, Waiting},
     },
     model::{account::Account, place::permits, request::Class},
@@ -102,6 +102,14 @@
         }
         if self.settings.shed {
             let forecast = self.forecast(&key, head.deadline, account);
+            let mut budget = budget;
+            if self.settings.bound_standing && key.class == Class::Short {
+                let standing = self.standing.entry(key.clone());
+                let standing = standing.or_insert_with(|| Standing::new(now));
+                if let Some(bound) = standing.observe(forecast.wait(), forecast.mean, now) {
+                    budget = budget.min(bound + forecast.own);
+                }
+            }
             if let Verdict::Refuse(after) = judge(forecast, budget) {
                 return self.refuse(request, Reason::Overload, Some(after), actions);
             }
--- a/crates/route/src/router/settings.rs
+++ b/crates/route/src/router/settings.rs
@@ -23,6 +23,8 @@
     pub late_quantile: f64,
     /// Keeps as many slots from batch as short work needed lately.
     pub adaptive_reserve: bool,
+    /// Bounds the wait of short requests when their queue stands.
+    pub bound_standing: bool,
     /// Refuses requests whose predicted answer would miss the deadline.
     pub shed: bool,
     /// Quantile of the service time after which an idempotent short request is hedged.
@@ -45,6 +47,7 @@
             own_quantile: 0.5,
             late_quantile: 0.5,
             adaptive_reserve: false,
+            bound_standing: true,
             shed: true,
             hedge_quantile: 0.99,
             retries: 0.1,
