--- a/crates/route/src/router/settings.rs
+++ b/crates/route/src/router/settings.rs
@@ -46,7 +46,7 @@
             queues: Limits::default(),
             own_quantile: 0.5,
             late_quantile: 0.5,
-            adaptive_reserve: false,
+            adaptive_reserve: true,
             bound_standing: true,
             shed: true,
             hedge_quantile: 0.99,
