Reserve slots per region by what short arrivals needed

The peak of all slots kept 86% of them from batch and still mixed regions. Each pool (service and region) now keeps what 99.5% of the short arrivals of the last 20 to 40 s needed.

--- a/crates/route/src/queue/queues.rs
+++ b/crates/route/src/queue/queues.rs
@@ -36,8 +36,6 @@
     pub slots: u32,
     /// Batch requests in flight, with stragglers.
     pub batch: u32,
-    /// Slots kept from batch beyond the fixed reserve, because short work needed them recently.
-    pub headroom: u32,
 }
 
 /// Slot time that an account used, in seconds divided by its weight.
@@ -163,19 +161,17 @@
         (own as f64 * weights / own_weight).min((own + others) as f64)
     }
 
-    /// Takes the next request for which `bind` finds a place.
+    /// Takes the next request for which `bind` finds a place; its last argument tells whether batch is owed
+    /// its least share.
     ///
     /// Short work comes first, except when batch is owed its least share. Within a class the account with
     /// the least used slot time comes first.
     pub fn take<T>(
         &mut self,
         seats: Seats,
-        mut bind: impl FnMut(&Key, Waiting) -> Option<T>,
+        mut bind: impl FnMut(&Key, Waiting, bool) -> Option<T>,
     ) -> Option<(Key, Waiting, T)> {
-        let kept = seats
-            .slots
-            .div_ceil(self.limits.short_reserve)
-            .max(seats.headroom);
+        let kept = seats.slots.div_ceil(self.limits.short_reserve);
         let bound = seats.slots.saturating_sub(kept).max(1);
         let batch_may = seats.batch < bound;
         let owed = self.batch_credit > 0.0 && seats.batch * 2 < seats.slots.max(2);
@@ -199,7 +195,7 @@
                 .collect();
             lanes.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.2.deadline.cmp(&b.2.deadline)));
             for (_, key, waiting) in lanes {
-                if let Some(place) = bind(key, waiting) {
+                if let Some(place) = bind(key, waiting, owed) {
                     let key = key.clone();
                     self.remove(&key, waiting);
                     return Some((key, waiting, place));
@@ -268,6 +264,14 @@
             .collect()
     }
 
+    /// The accounts with waiting short requests for a service, and their number.
+    pub fn short_lengths(&self, service: &str) -> impl Iterator<Item = (&str, usize)> {
+        self.lanes
+            .iter()
+            .filter(move |(key, _)| key.class == Class::Short && key.service == service)
+            .map(|(key, lane)| (key.account.as_str(), lane.waiting.len()))
+    }
+
     /// Iterates over the waiting requests.
     pub fn iter(&self) -> impl Iterator<Item = (&Key, Waiting)> {
         self.lanes.iter().flat_map(|(key, lane)| {
--- a/crates/route/src/router/admission.rs
+++ b/crates/route/src/router/admission.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Action, Reason, Router, TICK, flight::Phase, seat::Seat},
+    super::{Action, Reason, Router, TICK, flight::Phase, pool::Pool, seat::Seat},
     crate::{
         limit::{Forecast, Latency, Pace, Standing, Verdict, judge},
         queue::{Key, Waiting},
@@ -35,6 +35,7 @@
                     service: upstream.service.clone(),
                     site: upstream.site.clone(),
                     address: upstream.address.clone(),
+                    pool: 0,
                     usable: true,
                     limit: 0,
                     share: 0,
@@ -64,9 +65,32 @@
         }
         self.seats
             .retain(|_, seat| seat.usable || seat.busy > 0 || seat.share > 0);
+        self.pool_seats(now);
         self.fresh_until = Some(now + TICK);
     }
 
+    /// Sums the seats per service and region.
+    fn pool_seats(&mut self, now: Instant) {
+        for pool in &mut self.pools {
+            (pool.slots, pool.batch, pool.short) = (0, 0, 0);
+        }
+        for seat in self.seats.values_mut() {
+            let region = &seat.site.region;
+            let found = self
+                .pools
+                .iter()
+                .position(|pool| pool.service == seat.service && pool.region == *region);
+            seat.pool = found.unwrap_or_else(|| {
+                self.pools.push(Pool::new(&seat.service, region, now));
+                self.pools.len() - 1
+            });
+            let pool = &mut self.pools[seat.pool];
+            pool.slots += u32::from(seat.limit);
+            pool.batch += u32::from(seat.batch);
+            pool.short += u32::from(seat.busy - seat.batch);
+        }
+    }
+
     pub(super) fn latency(&mut self, service: &str, class: Class) -> &mut Latency {
         self.latencies
             .entry((service.to_owned(), class))
@@ -100,6 +124,9 @@
         if budget.is_zero() {
             return self.refuse(request, Reason::Deadline, None, actions);
         }
+        if key.class == Class::Short {
+            self.note_short(&key, account);
+        }
         if self.settings.shed {
             let forecast = self.forecast(&key, head.deadline, account);
             let mut budget = budget;
--- a/crates/route/src/router/dispatch.rs
+++ b/crates/route/src/router/dispatch.rs
@@ -8,12 +8,9 @@
     crate::queue::{Key, Seats},
     indexmap::IndexMap,
     model::{account::Account, place::permits, request::Class},
-    std::time::{Duration, Instant},
+    std::time::Instant,
 };
 
-/// Time after which the highest short demand seen is forgotten, if a lower one followed.
-const PEAK_WINDOW: Duration = Duration::from_secs(10);
-
 /// Fraction of a request's time that it waits before it may cross to another region while its own region
 /// has upstreams. The link between regions is slow and paid by volume.
 const SPILL: u32 = 4;
@@ -23,15 +20,11 @@
     /// Binds waiting requests to free slots.
     pub(super) fn dispatch(&mut self, now: Instant, actions: &mut Vec<Action>) {
         self.refresh(now);
-        self.note_peak(now);
         let Some(config) = self.config.clone() else {
             return;
         };
         while !self.queues.is_empty() {
-            let mut seats = Seats {
-                headroom: self.headroom(),
-                ..Seats::default()
-            };
+            let mut seats = Seats::default();
             let mut any = false;
             for seat in self.seats.values() {
                 seats.slots += u32::from(seat.limit);
@@ -44,10 +37,18 @@
             self.turn = self.turn.wrapping_add(1);
             let (table, flights, turn) = (&self.seats, &self.flights, self.turn);
             let region = &self.settings.site.region;
-            let taken = self.queues.take(seats, |key, waiting| {
+            let reserve = self.settings.queues.short_reserve;
+            let adaptive = self.settings.adaptive_reserve;
+            let open: Vec<bool> = self
+                .pools
+                .iter()
+                .map(|pool| pool.is_open(reserve, adaptive))
+                .collect();
+            let taken = self.queues.take(seats, |key, waiting, owed| {
                 let account = config.accounts.get(&key.account)?;
                 let flight = flights.get(&waiting.request)?;
-                find(table, key, account, flight, region, turn, now)
+                let fits = |seat: &Seat| key.class == Class::Short || owed || open[seat.pool];
+                find(table, key, account, flight, region, turn, now, fits)
             });
             let Some((_, waiting, place)) = taken else {
                 return;
@@ -79,8 +80,11 @@
         };
         seat.busy += 1;
         match class {
-            Class::Batch => seat.batch += 1,
-            Class::Short => self.short_busy += 1,
+            Class::Batch => {
+                seat.batch += 1;
+                self.pools[seat.pool].batch += 1;
+            }
+            Class::Short => self.pools[seat.pool].short += 1,
         }
         let upstream = name.clone();
         actions.push(Action::Send {
@@ -108,28 +112,40 @@
                 cancelled: false,
             },
         );
-        self.note_peak(now);
     }
 
-    pub(super) fn note_peak(&mut self, now: Instant) {
-        let since = *self.peak_since.get_or_insert(now);
-        if now.duration_since(since) >= PEAK_WINDOW {
-            self.peaks = [0, self.peaks[0]];
-            self.peak_since = Some(now);
+    /// Tells the pools that a short request arrived. It counts for the own region if its account may use it.
+    pub(super) fn note_short(&mut self, key: &Key, account: &Account) {
+        let home = self.settings.site.region.as_str();
+        let local = account.places.iter().any(|place| place.region() == home);
+        let config = self.config.as_ref();
+        let mut waiting = (0, 0);
+        for (other, count) in self.queues.short_lengths(&key.service) {
+            let places = config.and_then(|config| config.accounts.get(other));
+            let near = places
+                .is_some_and(|account| account.places.iter().any(|place| place.region() == home));
+            if near {
+                waiting.0 += count as u32;
+            } else {
+                waiting.1 += count as u32;
+            }
         }
-        self.peaks[0] = self.peaks[0].max(self.short_busy);
-    }
-
-    pub(super) fn headroom(&self) -> u32 {
-        if self.settings.adaptive_reserve {
-            self.peaks[0].max(self.peaks[1])
-        } else {
-            0
+        for pool in &mut self.pools {
+            let near = pool.region == home;
+            let permitted = account
+                .places
+                .iter()
+                .any(|place| place.region() == pool.region);
+            if pool.service == key.service && permitted && near == local {
+                pool.waiting = if near { waiting.0 } else { waiting.1 };
+                pool.arrived();
+            }
         }
     }
 }
 
 /// Finds the best upstream with a free slot: in the own region, then the least loaded.
+#[allow(clippy::too_many_arguments)]
 pub(super) fn find(
     seats: &IndexMap<String, Seat>,
     key: &Key,
@@ -138,6 +154,7 @@
     region: &str,
     turn: usize,
     now: Instant,
+    fits: impl Fn(&Seat) -> bool,
 ) -> Option<usize> {
     let budget = flight
         .head
@@ -154,7 +171,7 @@
         }
         let cross = seat.site.region != region;
         local |= !cross && seat.limit > 0;
-        if seat.free() == 0 || flight.tried.contains(name) {
+        if seat.free() == 0 || flight.tried.contains(name) || !fits(seat) {
             continue;
         }
         let load = u32::from(seat.busy) * 1000 / u32::from(seat.limit.max(1));
--- a/crates/route/src/router/ending.rs
+++ b/crates/route/src/router/ending.rs
@@ -91,13 +91,14 @@
             *mean += 0.01 * (sample - *mean);
         }
         let usual = self.log_means.get(&key).copied().unwrap_or(0.0);
-        if ended.class == Class::Short {
-            self.short_busy -= 1;
-        }
         if let Some(seat) = self.seats.get_mut(&ended.upstream) {
             seat.busy -= 1;
+            let pool = self.pools.get_mut(seat.pool);
             if ended.class == Class::Batch {
                 seat.batch -= 1;
+                pool.into_iter().for_each(|pool| pool.batch -= 1);
+            } else {
+                pool.into_iter().for_each(|pool| pool.short -= 1);
             }
             match outcome {
                 // Batch times vary too much between requests to judge an upstream by them.
--- a/crates/route/src/router/mod.rs
+++ b/crates/route/src/router/mod.rs
@@ -8,6 +8,7 @@
 mod event;
 mod flight;
 mod head;
+mod pool;
 mod router;
 mod seat;
 mod settings;
--- a/crates/route/src/router/router.rs
+++ b/crates/route/src/router/router.rs
@@ -2,6 +2,7 @@
     super::{
         Action, Event, Head, Reason, Refusal, Settings, TICK,
         flight::{Attempt, Flight, Phase},
+        pool::Pool,
         seat::Seat,
     },
     crate::{
@@ -49,9 +50,7 @@
     pub(super) next_attempt: u64,
     pub(super) turn: usize,
     pub(super) fresh_until: Option<Instant>,
-    pub(super) short_busy: u32,
-    pub(super) peaks: [u32; 2],
-    pub(super) peak_since: Option<Instant>,
+    pub(super) pools: Vec<Pool>,
 }
 
 impl Router {
@@ -77,9 +76,7 @@
             next_attempt: 0,
             turn: 0,
             fresh_until: None,
-            short_busy: 0,
-            peaks: [0; 2],
-            peak_since: None,
+            pools: Vec::new(),
             settings,
         }
     }
--- a/crates/route/src/router/seat.rs
+++ b/crates/route/src/router/seat.rs
@@ -6,6 +6,8 @@
     pub(super) service: String,
     pub(super) site: Site,
     pub(super) address: String,
+    /// Index of its pool.
+    pub(super) pool: usize,
     pub(super) usable: bool,
     /// Requests that may run at once: the share, lowered by the pace.
     pub(super) limit: u16,
--- a/crates/route/src/router/upkeep.rs
+++ b/crates/route/src/router/upkeep.rs
@@ -10,6 +10,7 @@
     pub(super) fn tick(&mut self, now: Instant, actions: &mut Vec<Action>) {
         self.fresh_until = None;
         self.refresh(now);
+        self.pools.iter_mut().for_each(|pool| pool.learn(now));
         while let Some((deadline, request)) = self.deadlines.first().copied() {
             if deadline > now {
                 break;
@@ -118,12 +119,21 @@
             };
             let region = &self.settings.site.region;
             let current = first.upstream.clone();
-            let place =
-                find(&self.seats, &key, account, flight, region, self.turn, now).filter(|place| {
-                    self.seats
-                        .get_index(*place)
-                        .is_some_and(|(name, _)| *name != current)
-                });
+            let place = find(
+                &self.seats,
+                &key,
+                account,
+                flight,
+                region,
+                self.turn,
+                now,
+                |_| true,
+            )
+            .filter(|place| {
+                self.seats
+                    .get_index(*place)
+                    .is_some_and(|(name, _)| *name != current)
+            });
             if let Some(place) = place
                 && self.hedges.spend()
             {
--- a/crates/route/tests/queues.rs
+++ b/crates/route/tests/queues.rs
@@ -62,10 +62,9 @@
                 let seats = Seats {
                     slots: 16,
                     batch: rng.random_range(0..16),
-                    headroom: 0,
                 };
                 let before = seats.batch;
-                let taken = queues.take(seats, |_, _| Some(()));
+                let taken = queues.take(seats, |_, _, _| Some(()));
                 let Some((key, waiting, ())) = taken else {
                     let short = model
                         .iter()
@@ -125,7 +124,7 @@
             slots: 16,
             ..Seats::default()
         };
-        let (key, _, ()) = queues.take(seats, |_, _| Some(())).unwrap();
+        let (key, _, ()) = queues.take(seats, |_, _, _| Some(())).unwrap();
         let seconds = rng.random_range(0.01..2.0);
         queues.charge(&key.account, Class::Short, seconds);
         used[usize::from(key.account == "a1")] += seconds;
@@ -152,7 +151,7 @@
             slots: 16,
             ..Seats::default()
         };
-        let (key, _, ()) = queues.take(seats, |_, _| Some(())).unwrap();
+        let (key, _, ()) = queues.take(seats, |_, _, _| Some(())).unwrap();
         let seconds = if key.class == Class::Batch { 1.0 } else { 0.05 };
         queues.charge(&key.account, key.class, seconds);
         used[usize::from(key.class == Class::Batch)] += seconds;
--- a/crates/trial/src/requests/measure.rs
+++ b/crates/trial/src/requests/measure.rs
@@ -16,6 +16,8 @@
     pub(super) not_run: Option<f64>,
     pub(super) runs: u32,
     pub(super) idempotent: bool,
+    /// Whether it started in another region than that of its instance.
+    pub(super) cross_region: bool,
 }
 
 /// Everything that one run of a scenario shows.
@@ -88,8 +90,28 @@
             .collect()
     }
 
-    pub(super) fn wait_p99(&self) -> f64 {
-        quantile(&mut self.waits(workload::WARM, self.end - 2.0), 0.99)
+    /// The same for requests that stay in the region of their instance: the time to another region hides
+    /// shorter waits.
+    pub(super) fn local_wait(&self, fraction: f64) -> f64 {
+        let mut local = self.clone_without_fates();
+        local.fates = self
+            .fates
+            .iter()
+            .filter(|fate| !fate.cross_region)
+            .cloned()
+            .collect();
+        local.wait(fraction)
+    }
+
+    fn clone_without_fates(&self) -> Outcome {
+        Outcome {
+            end: self.end,
+            ..Outcome::default()
+        }
+    }
+
+    pub(super) fn wait(&self, fraction: f64) -> f64 {
+        quantile(&mut self.waits(workload::WARM, self.end - 2.0), fraction)
     }
 
     /// Part of the short requests that were refused.
--- a/crates/trial/src/requests/report.rs
+++ b/crates/trial/src/requests/report.rs
@@ -59,7 +59,7 @@
 
     pub(super) fn add(&mut self, policy: Policy, measured: &Measured) {
         let p99 = workload::short_p99().as_secs_f64();
-        let (alone, backlog) = (measured.alone.wait_p99(), measured.backlog.wait_p99());
+        let (alone, backlog) = (measured.alone.wait(0.99), measured.backlog.wait(0.99));
         let runs = [
             &measured.crest,
             &measured.alone,
@@ -74,7 +74,7 @@
         }
         let seconds = measured.crest.end;
         let instances = self.options.instances as f64;
-        let values: [(Bound, f64); 11] = [
+        let values: [(Bound, f64); 14] = [
             (
                 (
                     "crest: useful slot time at 3 x capacity",
@@ -96,6 +96,18 @@
             (("broken promises", Some((false, 0.0))), broken as f64),
             (("p99 short wait without batch [ms]", None), alone * 1e3),
             (("p99 short wait with batch [ms]", None), backlog * 1e3),
+            (
+                ("head-of-line, requests inside a region", Some((false, 1.1))),
+                measured.backlog.local_wait(0.99) / measured.alone.local_wait(0.99),
+            ),
+            (
+                ("p99.9 short wait without batch [ms]", None),
+                measured.alone.wait(0.999) * 1e3,
+            ),
+            (
+                ("p99.9 short wait with batch [ms]", None),
+                measured.backlog.wait(0.999) * 1e3,
+            ),
             (
                 ("short refused without batch", None),
                 measured.alone.refused(),
--- a/crates/trial/src/requests/world.rs
+++ b/crates/trial/src/requests/world.rs
@@ -366,7 +366,11 @@
     fn begin_work(&mut self, up: usize, work: Work) {
         self.upstreams[up].running.push(work);
         let fate = &mut self.outcome.fates[work.request];
-        fate.started.get_or_insert(self.now);
+        if fate.started.is_none() {
+            let home = workload::site(work.node).region;
+            fate.cross_region = home != self.upstreams[up].site.region;
+            fate.started = Some(self.now);
+        }
         fate.runs += 1;
         let twice = fate.runs > 1 && !fate.idempotent;
         let refused = fate.not_run.is_some();
