--- a/crates/route/src/router/router.rs
+++ b/crates/route/src/router/router.rs
@@ -2,9 +2,16 @@
     super::{
         Action, Event, Head, Reason, Refusal, Settings, TICK,
         flight::{Attempt, Flight, Phase},
+        pool::Pool,
         seat::Seat,
     },
-    crate::{limit::Latency, member::Members, queue::Queues, retry::Budget, share::Holder},
+    crate::{
+        limit::{Latency, Standing},
+        member::Members,
+        queue::{Key, Queues},
+        retry::Budget,
+        share::Holder,
+    },
     indexmap::IndexMap,
     model::{
         config::Config,
@@ -26,22 +33,24 @@
     pub(super) holders: IndexMap<String, Holder>,
     pub(super) queues: Queues,
     pub(super) seats: IndexMap<String, Seat>,
-    pub(super) demand: IndexMap<String, f64>,
+    /// Per account and service: work offered since the last report in slot seconds, and the smoothed demand
+    /// in slots.
+    pub(super) demand: IndexMap<(String, String), (f64, f64)>,
+    pub(super) demand_at: Option<Instant>,
     pub(super) draining: bool,
     pub(super) config: Option<Arc<Config>>,
     pub(super) flights: HashMap<u64, Flight>,
     pub(super) attempts: HashMap<u64, Attempt>,
     pub(super) deadlines: BTreeSet<(Instant, u64)>,
     pub(super) latencies: IndexMap<(String, Class), Latency>,
+    pub(super) standing: IndexMap<Key, Standing>,
     pub(super) log_means: IndexMap<(String, Class), f64>,
     pub(super) retries: Budget,
     pub(super) hedges: Budget,
     pub(super) next_attempt: u64,
     pub(super) turn: usize,
     pub(super) fresh_until: Option<Instant>,
-    pub(super) short_busy: u32,
-    pub(super) peaks: [u32; 2],
-    pub(super) peak_since: Option<Instant>,
+    pub(super) pools: Vec<Pool>,
 }
 
 impl Router {
@@ -53,21 +62,21 @@
             queues: Queues::new(settings.queues.clone()),
             seats: IndexMap::new(),
             demand: IndexMap::new(),
+            demand_at: None,
             draining: false,
             config: None,
             flights: HashMap::new(),
             attempts: HashMap::new(),
             deadlines: BTreeSet::new(),
             latencies: IndexMap::new(),
+            standing: IndexMap::new(),
             log_means: IndexMap::new(),
             retries: settings.retry_budget(),
             hedges: settings.hedge_budget(),
             next_attempt: 0,
             turn: 0,
             fresh_until: None,
-            short_busy: 0,
-            peaks: [0; 2],
-            peak_since: None,
+            pools: Vec::new(),
             settings,
         }
     }
@@ -97,6 +106,9 @@
         if !placed {
             return refuse(Reason::Place, Some(Duration::from_secs(1)));
         }
+        let work = self.latency(&head.service, head.class).mean().as_secs_f64();
+        let demand_key = (head.account.clone(), head.service.clone());
+        self.demand.entry(demand_key).or_default().0 += work;
         let idempotent = head.idempotent;
         self.deadlines.insert((head.deadline, request));
         self.flights.insert(
