--- a/crates/daemon/tests/processes/cluster.rs
+++ b/crates/daemon/tests/processes/cluster.rs
@@ -24,17 +24,22 @@
 
 const POLL: Duration = Duration::from_millis(50);
 
+/// One cluster at a time: several at once would make elections depend on the machine's load.
+static RUNNING: tokio::sync::Mutex<()> = tokio::sync::Mutex::const_new(());
+
 /// Instances as processes of their own.
 pub struct Cluster {
     pub deployment: Deployment,
     pub client: Client,
     folder: TempDir,
     children: Vec<Option<Child>>,
+    _turn: tokio::sync::MutexGuard<'static, ()>,
 }
 
 impl Cluster {
     /// Starts all instances and waits until each is ready and the groups have all their voters.
     pub async fn spawn(instances: usize, control: usize) -> Cluster {
+        let turn = RUNNING.lock().await;
         let folder = TempDir::new().unwrap();
         let deployment = Deployment::new(instances, control, folder.path()).unwrap();
         let mut cluster = Cluster {
@@ -42,6 +47,7 @@
             children: (0..instances).map(|_| None).collect(),
             deployment,
             folder,
+            _turn: turn,
         };
         for index in 0..instances {
             cluster.start(index, index == 0);
@@ -211,6 +217,27 @@
         panic!("note {key}: no outcome within {LIMIT:?}");
     }
 
+    /// Submits a job through one instance after the other, from `first` on, until it is accepted.
+    pub async fn submit_job(&self, spec: &Value, first: usize) -> String {
+        let start = Instant::now();
+        let mut through = first;
+        loop {
+            match self
+                .post(through % self.deployment.len(), "/v1/jobs", spec)
+                .await
+            {
+                Ok(answer) if answer.status == 201 => {
+                    return answer.json()["id"].as_str().unwrap().to_owned();
+                }
+                Ok(answer) => assert_eq!(answer.status, 503, "{}", answer.json()),
+                Err(_) => {}
+            }
+            assert!(start.elapsed() < LIMIT, "job {spec} was never accepted");
+            through += 1;
+            time::sleep(POLL).await;
+        }
+    }
+
     /// Applies a first note with one account.
     pub async fn first_note(&self) {
         let note = json!({
