--- a/crates/disk/tests/full.rs
+++ b/crates/disk/tests/full.rs
@@ -80,9 +80,13 @@
     let mut model = Model::default();
     memory.set_capacity(Some(60 * MIB));
     let append = Step::Append(1, 1, MIB as usize);
-    while model.run(&mut store, &append).is_ok() {
+    for _ in 0..60 {
+        if model.run(&mut store, &append).is_err() {
+            break;
+        }
         model.run(&mut store, &Step::Sync).unwrap();
     }
+    assert!(is_full(model.run(&mut store, &append)));
     assert!(model.last() > 20, "only {} entries fit", model.last());
     // Another program takes most of the rest.
     memory.set_capacity(Some(memory.used() + MIB));
