--- a/crates/disk/tests/damage.rs
+++ b/crates/disk/tests/damage.rs
@@ -145,8 +145,11 @@
 #[test]
 fn missing_segment_refuses_the_start() {
     use Step::*;
-    let big = |term| [Append(1, term, 4 << 20), Sync];
-    let steps: Vec<_> = [big(1), big(1), big(2), big(2)].concat();
+    let big = |term| vec![Append(1, term, 4 << 20), Sync];
+    // The third segment replaces an entry by one of the same index and term, so that only the gap
+    // shows its absence.
+    let replaced = [vec![Truncate(2)], big(1)].concat();
+    let steps = [big(1), big(1), replaced, big(2)].concat();
     let (memory, held) = written(&steps);
     let segments: Vec<_> = memory
         .files()
