Stop a replica cleanly and form groups only where none exists

A group is now formed only when a majority of its listed members, this one included, answers that it holds nothing of it; if one holds it, the instance joins.

--- a/crates/control/src/group/driver.rs
+++ b/crates/control/src/group/driver.rs
@@ -6,11 +6,14 @@
     },
     indexmap::IndexMap,
     model::clock::Clock,
-    quorum::{Effect, Entry, Event, Message, Node, Outcome, Payload, Refusal, Snapshot, Stable},
+    quorum::{
+        Effect, Entry, Event, Members, Message, Node, Outcome, Payload, Refusal, Settings,
+        Snapshot, Stable,
+    },
     std::{
         collections::VecDeque,
         sync::{Arc, Mutex, PoisonError, mpsc},
-        time::Duration,
+        time::{Duration, Instant},
     },
     tokio::sync::oneshot,
     wire::Verdict,
@@ -41,6 +44,9 @@
     view: Arc<Mutex<View>>,
     clock: Arc<dyn Clock>,
     peers: Peers,
+    settings: Settings,
+    /// Time of the node's last step.
+    stepped: Instant,
     tick: Duration,
     next_ticket: u64,
     waiters: IndexMap<u64, Waiter>,
@@ -51,6 +57,18 @@
     unsaved_bytes: usize,
 }
 
+impl Drop for Driver {
+    /// However the thread ends, this replica no longer leads and knows no leader.
+    fn drop(&mut self) {
+        let mut view = self.view();
+        view.leader = None;
+        view.leading_since = None;
+        view.confirmed = None;
+        view.stopped
+            .get_or_insert_with(|| "the replica's thread has ended".into());
+    }
+}
+
 impl Driver {
     pub(super) fn new(
         setup: Setup,
@@ -68,7 +86,9 @@
         let tick = setup.settings.heartbeat / 3;
         Driver {
             name: setup.name,
-            node: Node::new(setup.id, setup.settings, stable, seed, now),
+            node: Node::new(setup.id, setup.settings.clone(), stable, seed, now),
+            settings: setup.settings,
+            stepped: now,
             store,
             state,
             view,
@@ -89,19 +109,20 @@
     pub(super) fn run(mut self, inputs: &mpsc::Receiver<Input>) {
         loop {
             let mut events = VecDeque::new();
-            match inputs.recv_timeout(self.tick) {
+            let first = match inputs.recv_timeout(self.tick) {
                 Ok(Input::Stop) | Err(mpsc::RecvTimeoutError::Disconnected) => return,
-                Ok(input) => self.take(input, &mut events),
-                Err(mpsc::RecvTimeoutError::Timeout) => {}
-            }
-            for input in inputs.try_iter().take(MAX_BATCH) {
+                Ok(input) => Some(input),
+                Err(mpsc::RecvTimeoutError::Timeout) => None,
+            };
+            let mut done = Ok(());
+            for input in first.into_iter().chain(inputs.try_iter().take(MAX_BATCH)) {
                 if matches!(input, Input::Stop) {
                     return;
                 }
-                self.take(input, &mut events);
+                done = done.and_then(|()| self.take(input, &mut events));
             }
             events.push_back(Event::Tick);
-            if let Err(error) = self.step(events) {
+            if let Err(error) = done.and_then(|()| self.step(events)) {
                 // A failed write or sync may have lost what other replicas count on, so nothing more is
                 // sent or answered.
                 log::error!(
@@ -125,7 +146,7 @@
         self.next_ticket
     }
 
-    fn take(&mut self, input: Input, events: &mut VecDeque<Event>) {
+    fn take(&mut self, input: Input, events: &mut VecDeque<Event>) -> Result<(), Error> {
         match input {
             Input::Deliver { sender, messages } => {
                 for bytes in messages {
@@ -144,7 +165,7 @@
             Input::Propose { command, reply } => {
                 if let Err(error) = self.store.check_space(command.len() as u64) {
                     drop(reply.send(Verdict::NotRun(error.to_string())));
-                    return;
+                    return Ok(());
                 }
                 let ticket = self.ticket(Waiter::Propose(reply));
                 events.push_back(Event::Propose { ticket, command });
@@ -160,14 +181,28 @@
             Input::Resign => {
                 let now = self.clock.now();
                 let effects = self.node.transfer_leadership(None, now);
-                let mut synced = VecDeque::new();
-                if let Err(error) = self.perform(effects, &mut synced) {
-                    log::error!("event=resign_failed group={} error=\"{error}\"", self.name);
-                }
-                events.extend(synced);
+                self.perform(effects, events)?;
             }
+            Input::Found => self.found()?,
             Input::Stop => {}
         }
+        Ok(())
+    }
+
+    /// Forms the group with this replica as its only voter, unless a group has reached it or it holds one.
+    fn found(&mut self) -> Result<(), Error> {
+        if self.node.last_index() > 0 || self.node.term() > 0 {
+            return Ok(());
+        }
+        let me = self.node.member();
+        let stable = Stable::bootstrap(me.incarnation, Members::new([me]));
+        codec::append(&mut self.store, &stable.entries)?;
+        self.store.sync()?;
+        let seed = me.incarnation ^ me.id;
+        let now = self.clock.now();
+        self.node = Node::new(me.id, self.settings.clone(), stable, seed, now);
+        log::info!("event=group_formed group={}", self.name);
+        Ok(())
     }
 
     /// Steps the node with all events; the disk is synced once for each round of effects.
@@ -175,7 +210,8 @@
         while !events.is_empty() {
             let mut effects = Vec::new();
             for event in events.drain(..) {
-                effects.extend(self.node.step(event, self.clock.now()));
+                self.stepped = self.clock.now();
+                effects.extend(self.node.step(event, self.stepped));
             }
             self.perform(effects, &mut events)?;
             if events.is_empty() {
@@ -185,8 +221,26 @@
         Ok(())
     }
 
+    /// Performs effects in order. A `Restore` replaces the state, so what comes before it is performed first.
+    fn perform(
+        &mut self,
+        mut effects: Vec<Effect>,
+        events: &mut VecDeque<Event>,
+    ) -> Result<(), Error> {
+        let is_restore = |effect: &Effect| matches!(effect, Effect::Restore { .. });
+        while let Some(at) = effects.iter().skip(1).position(is_restore) {
+            let rest = effects.split_off(at + 1);
+            self.perform_part(std::mem::replace(&mut effects, rest), events)?;
+        }
+        self.perform_part(effects, events)
+    }
+
     /// Writes and syncs everything that the effects persist, then performs the others in order.
-    fn perform(&mut self, effects: Vec<Effect>, events: &mut VecDeque<Event>) -> Result<(), Error> {
+    fn perform_part(
+        &mut self,
+        effects: Vec<Effect>,
+        events: &mut VecDeque<Event>,
+    ) -> Result<(), Error> {
         let mut dirty = false;
         for effect in &effects {
             dirty |= self.persist(effect, events)?;
@@ -288,7 +342,7 @@
                 };
                 drop(reply.send(refusal));
             }
-            Some(Waiter::Change) => log::info!(
+            Some(Waiter::Change) => log::debug!(
                 "event=membership_change group={} outcome=\"{outcome:?}\"",
                 self.name
             ),
@@ -298,13 +352,16 @@
 
     fn verdict(&mut self, outcome: Outcome) -> Verdict {
         match outcome {
-            Outcome::Committed { index } | Outcome::ReadReady { index } => {
-                let answer = self.answers.swap_remove(&index).unwrap_or(Answer::Done);
+            Outcome::Committed { index } => {
+                let Some(answer) = self.answers.swap_remove(&index) else {
+                    return Verdict::Unknown("the answer of the command was lost".into());
+                };
                 match serde_json::to_vec(&answer) {
                     Ok(bytes) => Verdict::Answer(bytes),
                     Err(error) => Verdict::Unknown(error.to_string()),
                 }
             }
+            Outcome::ReadReady { .. } => Verdict::Answer(Vec::new()),
             Outcome::NotLeader { leader } => Verdict::NotLeader(leader),
             Outcome::Lost => {
                 Verdict::Unknown("the leader changed; resend with the same key".into())
@@ -331,6 +388,8 @@
     fn publish(&self) {
         let leads = self.node.is_leader();
         let mut view = self.view();
+        view.confirmed = leads.then_some(self.stepped);
+        view.last = self.node.last_index();
         let leader = self.node.leader();
         if view.leader != leader {
             log::info!(
--- a/crates/control/src/group/group.rs
+++ b/crates/control/src/group/group.rs
@@ -2,10 +2,11 @@
     super::{Error, View, codec, driver::Driver, input::Input},
     crate::{peers::Peers, state::State},
     model::clock::Clock,
-    quorum::{Change, Member, Members, Settings, Stable},
+    quorum::{Change, Member, Settings},
     std::{
         sync::{Arc, Mutex, PoisonError, mpsc},
         thread,
+        time::Duration,
     },
     tokio::sync::oneshot,
     wire::Verdict,
@@ -20,8 +21,6 @@
     pub name: String,
     /// Id of this instance.
     pub id: u64,
-    /// Forms a new group with this replica as its only voter if the disk holds nothing of the group.
-    pub found: bool,
     /// Timing and sizes.
     pub settings: Settings,
     /// Source of time.
@@ -38,30 +37,35 @@
     inputs: mpsc::SyncSender<Input>,
     state: Arc<State>,
     view: Arc<Mutex<View>>,
+    clock: Arc<dyn Clock>,
+    /// Time between the end of a lease and the earliest election of another leader.
+    margin: Duration,
+    /// Whether the disk held something of the group at the start.
+    holds: bool,
 }
 
 impl Group {
     /// Loads what the disk holds and starts the replica's thread.
     pub fn spawn(folder: &disk::Folder, setup: Setup) -> Result<Group, Error> {
-        let (mut store, contents) = disk::Store::open(folder, &setup.name)?;
-        let mut stable = codec::stable(folder.incarnation(), contents)?;
+        let (store, contents) = disk::Store::open(folder, &setup.name)?;
+        let stable = codec::stable(folder.incarnation(), contents)?;
         let member = Member {
             id: setup.id,
             incarnation: stable.incarnation,
         };
-        let empty = stable.entries.is_empty() && stable.snapshot.is_none();
-        if empty && setup.found {
-            stable = Stable::bootstrap(stable.incarnation, Members::new([member]));
-            codec::append(&mut store, &stable.entries)?;
-            store.sync()?;
-        }
         let state = Arc::new(State::default());
         if let Some(snapshot) = &stable.snapshot {
             state
                 .restore(&snapshot.data)
                 .map_err(|error| Error::State(error.to_string()))?;
         }
+        let holds = !stable.entries.is_empty() || stable.snapshot.is_some();
         let view = Arc::new(Mutex::new(View::default()));
+        let margin = setup
+            .settings
+            .election_min
+            .saturating_sub(setup.settings.lease());
+        let clock = setup.clock.clone();
         let (inputs, receiver) = mpsc::sync_channel(MAX_QUEUED_INPUTS);
         let name: Arc<str> = setup.name.as_str().into();
         let driver = Driver::new(setup, stable, store, state.clone(), view.clone());
@@ -75,6 +79,9 @@
             inputs,
             state,
             view,
+            clock,
+            margin,
+            holds,
         })
     }
 
@@ -101,6 +108,26 @@
             .clone()
     }
 
+    /// Tells whether this replica leads now, and not only at its last step: its thread may be waiting for
+    /// the disk.
+    pub fn leads(&self) -> bool {
+        let confirmed = self.view().confirmed;
+        confirmed.is_some_and(|at| self.clock.now() < at + self.margin)
+    }
+
+    /// Tells whether this replica holds something of its group, or has heard of a leader or candidate.
+    pub fn holds(&self) -> bool {
+        let view = self.view();
+        self.holds || view.last > 0 || view.term > 0
+    }
+
+    /// Forms the group with this replica as its only voter, unless it holds something of the group.
+    ///
+    /// The caller makes sure that no other instance holds the group.
+    pub fn found(&self) {
+        drop(self.inputs.try_send(Input::Found));
+    }
+
     /// Hands over messages of another replica; drops them when too many are waiting.
     pub fn deliver(&self, sender: u64, messages: Vec<Vec<u8>>) {
         drop(self.inputs.try_send(Input::Deliver { sender, messages }));
--- a/crates/control/src/group/input.rs
+++ b/crates/control/src/group/input.rs
@@ -15,6 +15,8 @@
     },
     /// A membership change; its result shows in the view.
     Change(Change),
+    /// Forms the group if this replica holds nothing of it.
+    Found,
     /// Hands leadership to another voter, if this replica leads.
     Resign,
     /// Ends the thread.
--- a/crates/control/src/group/view.rs
+++ b/crates/control/src/group/view.rs
@@ -7,10 +7,14 @@
     pub leader: Option<u64>,
     /// Since when this replica leads with a valid lease, if it does.
     pub leading_since: Option<Instant>,
+    /// When the lease of this leader was last known to be valid.
+    pub confirmed: Option<Instant>,
     /// Current term.
     pub term: u64,
     /// Last committed index.
     pub commit: u64,
+    /// Last entry of the log.
+    pub last: u64,
     /// Last applied index.
     pub applied: u64,
     /// Voters, learners and the list being replaced.
--- a/crates/control/src/instance/handler.rs
+++ b/crates/control/src/instance/handler.rs
@@ -68,13 +68,20 @@
 
     /// Answers a query if this instance leads the group.
     pub(super) async fn answer(&self, group: &str, query: &[u8]) -> Verdict {
-        let Some(group) = self.groups.get(group) else {
-            return Verdict::NotLeader(None);
-        };
         let query: Query = match serde_json::from_slice(query) {
             Ok(query) => query,
             Err(error) => return Verdict::NotRun(format!("malformed query: {error}")),
         };
+        let group = self.groups.get(group);
+        if let Query::Holds = query {
+            return match encode(&group.is_some_and(Group::holds)) {
+                Ok(bytes) => Verdict::Answer(bytes),
+                Err(error) => Verdict::NotRun(error.to_string()),
+            };
+        }
+        let Some(group) = group else {
+            return Verdict::NotLeader(None);
+        };
         if let Err(refusal) = group.read().await {
             return refusal;
         }
@@ -113,6 +120,7 @@
                 let now = self.setup.clock.now();
                 encode(&self.ledger().is_live((instance, incarnation), now))
             }
+            Query::Holds => encode(&group.holds()),
             Query::Drains => encode(&state.drains().instances),
             Query::Jobs {
                 account,
--- a/crates/control/src/instance/instance.rs
+++ b/crates/control/src/instance/instance.rs
@@ -12,7 +12,7 @@
     std::{
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
-            atomic::{AtomicBool, Ordering},
+            atomic::{AtomicBool, AtomicU64, Ordering},
         },
         time::Duration,
     },
@@ -31,6 +31,8 @@
     /// Announcements to be reported, by group and worker.
     relay: Mutex<IndexMap<(String, String), Announcement>>,
     stopped: AtomicBool,
+    /// Last time given to a claim or settlement of this process.
+    stamp: AtomicU64,
     _folder: Option<disk::Folder>,
 }
 
@@ -59,7 +61,6 @@
             let group = group::Setup {
                 name: name.clone(),
                 id: setup.id,
-                found: setup.bootstrap && members.first() == Some(&setup.id),
                 settings: setup.quorum.clone(),
                 clock: setup.clock.clone(),
                 peers: peers.clone(),
@@ -101,6 +102,7 @@
             hints: Mutex::default(),
             relay: Mutex::default(),
             stopped: AtomicBool::new(false),
+            stamp: AtomicU64::new(0),
             _folder: folder,
         });
         instance.peers.serve(Arc::new(Server(instance.clone())));
@@ -164,6 +166,17 @@
         lock(&self.hints)
     }
 
+    /// A wall time that this process has not given to another claim or settlement, and later than all
+    /// that it has: two requests with one key may arrive in the same millisecond.
+    pub(super) fn stamp(&self, at_ms: u64) -> u64 {
+        let next = |last: u64| Some(at_ms.max(last.saturating_add(1)));
+        let last = self
+            .stamp
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, next);
+        let last = last.unwrap_or_else(|last| last);
+        at_ms.max(last.saturating_add(1))
+    }
+
     pub(super) fn is_stopped(&self) -> bool {
         self.stopped.load(Ordering::Relaxed)
     }
--- a/crates/control/src/instance/leader.rs
+++ b/crates/control/src/instance/leader.rs
@@ -28,6 +28,10 @@
     /// Executes a command in a group, wherever its leader is. Every command may be proposed more than once,
     /// so an answer that was lost is asked for again.
     pub async fn propose(&self, group: &str, command: &Command) -> Result<Answer, Error> {
+        let mut command = command.clone();
+        if let Command::Claim { at_ms, .. } | Command::Settle { at_ms, .. } = &mut command {
+            *at_ms = self.stamp(*at_ms);
+        }
         let bytes = self.ask(group, Ask::Propose(&command.encode())).await?;
         serde_json::from_slice(&bytes).map_err(|error| Error::Unknown(error.to_string()))
     }
@@ -55,6 +59,7 @@
         let mut reason = String::from("no instance of the group leads");
         let mut next = self.hint(group);
         let mut index = 0;
+        let mut redirected = false;
         loop {
             let target = next.take().unwrap_or_else(|| {
                 index += 1;
@@ -80,9 +85,11 @@
                     (None, _) => Error::NotRun(reason),
                 });
             }
-            if next.is_none() {
+            // Two instances that take each other for the leader would be asked without a pause.
+            if next.is_none() || redirected {
                 time::sleep(ASK_PAUSE).await;
             }
+            redirected = next.is_some() && !redirected;
         }
     }
 
@@ -93,10 +100,18 @@
         ask: Ask<'_>,
     ) -> Result<Verdict, peers::Error> {
         if target == self.setup.id {
-            return Ok(match ask {
-                Ask::Propose(bytes) => self.execute(group, bytes).await,
-                Ask::Query(bytes) => self.answer(group, bytes).await,
-                Ask::Report(bytes) => self.take_report(group, self.setup.id, bytes).await,
+            let answer = async {
+                match ask {
+                    Ask::Propose(bytes) => self.execute(group, bytes).await,
+                    Ask::Query(bytes) => self.answer(group, bytes).await,
+                    Ask::Report(bytes) => self.take_report(group, self.setup.id, bytes).await,
+                }
+            };
+            // A replica whose disk has stalled does not answer.
+            let limit = self.setup.call_timeout;
+            return time::timeout(limit, answer).await.map_err(|_| {
+                let reason = format!("no answer within {} ms", limit.as_millis());
+                peers::Error::NoAnswer(reason)
             });
         }
         match ask {
--- a/crates/control/src/instance/loops.rs
+++ b/crates/control/src/instance/loops.rs
@@ -1,10 +1,12 @@
 use {
     super::{Instance, Query, Report, handler::CONFIG},
+    crate::group::Group,
+    futures::future,
     indexmap::IndexSet,
     quorum::Change,
     std::{sync::Arc, time::Duration},
     tokio::time,
-    wire::Update,
+    wire::{Update, Verdict},
 };
 
 /// Interval of the questions for newer configuration; each renews the lease.
@@ -32,6 +34,60 @@
         tokio::spawn(report(instance.clone(), group));
     }
     tokio::spawn(gossip(instance.clone()));
+    for (name, members) in &instance.setup.groups {
+        if let Some(group) = instance.groups.get(name)
+            && instance.setup.bootstrap
+            && members.first() == Some(&instance.setup.id)
+            && !group.holds()
+        {
+            tokio::spawn(found(instance.clone(), group.clone(), members.clone()));
+        }
+    }
+}
+
+/// Forms a group once a majority of its listed members, this one included, is known to hold nothing of it.
+///
+/// If the group exists and has a quorum, one of any majority holds it. An instance whose disk was replaced
+/// therefore joins the group instead of forming a second one.
+async fn found(instance: Arc<Instance>, group: Group, members: Vec<u64>) {
+    let name = group.name().to_owned();
+    let mut told = false;
+    let query = serde_json::to_vec(&Query::Holds).unwrap_or_default();
+    while !instance.is_stopped() && !group.holds() {
+        let others = members.iter().filter(|id| **id != instance.setup.id);
+        let answers = others.map(|id| async {
+            let answer = instance.peers.query(*id, &name, &query).await;
+            let holds = match answer {
+                Ok(Verdict::Answer(bytes)) => serde_json::from_slice::<bool>(&bytes).ok(),
+                _ => None,
+            };
+            (*id, holds)
+        });
+        let answers = future::join_all(answers).await;
+        if let Some((holder, _)) = answers.iter().find(|(_, holds)| *holds == Some(true)) {
+            log::warn!(
+                "event=bootstrap_refused group={name} holder={holder} reason=\"the group exists; joining it\""
+            );
+            return;
+        }
+        let empty = answers
+            .iter()
+            .filter(|(_, holds)| *holds == Some(false))
+            .count()
+            + 1;
+        if empty > members.len() / 2 {
+            return group.found();
+        }
+        if !told {
+            told = true;
+            log::warn!(
+                "event=bootstrap_waits group={name} empty={empty} members={} reason=\"a majority of the \
+                 members must answer that it holds nothing of the group\"",
+                members.len()
+            );
+        }
+        time::sleep(MEMBERS_EVERY).await;
+    }
 }
 
 /// Keeps the configuration and the lease on it current.
@@ -56,7 +112,15 @@
         match update {
             Ok(Update::Current { lease, config }) => {
                 instance.remember(CONFIG, target);
-                let config = config.and_then(|bytes| serde_json::from_slice(&bytes).ok());
+                let Ok(config) = config
+                    .map(|bytes| serde_json::from_slice(&bytes))
+                    .transpose()
+                else {
+                    // Without the newer configuration the lease on the older one must end.
+                    log::error!("event=config_malformed sender={target}");
+                    time::sleep(FOLLOW_EVERY).await;
+                    continue;
+                };
                 let fresh = config.is_some();
                 instance.follower.update(config, sent, lease);
                 // A changed number is reported at once, so that the note is soon known to be in force.
@@ -105,7 +169,8 @@
             if view.leading_since.is_none() || view.members.is_joint() {
                 continue;
             }
-            if let Some(learner) = view.members.learners.first() {
+            // One that has not caught up, for example because it is down, must not keep the others waiting.
+            for learner in &view.members.learners {
                 group.change(Change::Promote(*learner));
             }
         }
--- a/crates/control/src/instance/query.rs
+++ b/crates/control/src/instance/query.rs
@@ -68,6 +68,8 @@
     },
     /// Workers; a list of [`WorkerView`].
     Workers,
+    /// Whether this instance holds something of the group; a boolean. Answered by any instance.
+    Holds,
     /// Asks to become a member of the group; nothing.
     Join {
         /// Id of the instance.
