Carry every gang to an end and send orders only under a lease

Causes found in review and by the scenarios: - A gang whose task ended while its leader went on, for example after a short loss of the lease, was neither renewed nor stopped. - A worker that answered orders to stop without stopping kept the job in stopping for good, because its answers counted as renewed leases. - A worker that refused reservations got the same gang again and again. - A reservation whose answer was lost stayed on its worker after a cancel. - Orders went out on the leadership of the last step, although the replica's thread could be waiting for its disk for longer than the lease.

--- a/crates/control/src/jobs/context.rs
+++ b/crates/control/src/jobs/context.rs
@@ -1,5 +1,6 @@
 use {
     super::Settings,
+    crate::fault::{self, Fault},
     crate::{
         follow::Follower,
         group::Group,
@@ -51,12 +52,14 @@
         }
     }
 
-    /// Tells whether work of the job may be sent to all its workers now: this replica leads, the
+    /// Tells whether this replica's lease as the leader is valid now.
+    pub(super) fn leads(&self) -> bool {
+        self.group.leads() || fault::is(Fault::OrdersWithoutLease)
+    }
+
+    /// Tells whether work of the job may be sent to all its workers now: the
     /// configuration is current, and every site is permitted.
     pub(super) fn may_send(&self, job: &Job) -> Result<(), String> {
-        if self.group.view().leading_since.is_none() {
-            return Err("this instance no longer leads".into());
-        }
         let Some(config) = self.follower.current(self.clock.now()) else {
             return Err("the configuration is not known to be current".into());
         };
--- a/crates/control/src/jobs/gang.rs
+++ b/crates/control/src/jobs/gang.rs
@@ -1,9 +1,13 @@
 use {
-    super::{Context, orders::Orders},
+    super::{
+        Context,
+        orders::{Contact, Orders},
+    },
+    crate::fault::{self, Fault},
     crate::state::Step,
     model::{
         job::{Job, State},
-        worker::{Action, TaskState},
+        worker::{Action, Task, TaskState},
     },
     std::{sync::Arc, time::Duration},
     tokio::{
@@ -15,11 +19,20 @@
 /// Wait for the answer to one round of orders.
 const ORDER_LIMIT: Duration = Duration::from_millis(1000);
 
+/// Rounds of orders that give back the reservations of an attempt that ended before its start. After them the
+/// leases free what is left.
+const GIVE_BACK_TRIES: u32 = 3;
+
 /// Pause before a round of orders is sent again.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
-/// A task that ended without success: job and worker.
-pub(super) type Failure = (u64, String);
+/// What a gang reports of a worker.
+pub(super) enum Failure {
+    /// A task of the job ended there without success.
+    Task { job: u64, worker: String },
+    /// It did not hold what it was asked to reserve.
+    Reservation { worker: String },
+}
 
 /// Carries one attempt of one job from its recorded state to its end.
 pub(super) struct Gang {
@@ -49,16 +62,21 @@
                 _ => break,
             }
         }
-        // A reservation whose job was cancelled or released is given back.
-        if let Some(job) = self.last() {
+        // A reservation whose job was cancelled or released is given back, also where its answer was lost.
+        for _ in 0..GIVE_BACK_TRIES {
+            let reserved = |contact: &Contact| {
+                let held = |task: &Task| task.state == TaskState::Reserved;
+                contact.tasks.is_empty() || contact.tasks.iter().any(held)
+            };
+            let (Some(job), true) = (self.last(), orders.contacts.values().any(reserved)) else {
+                return;
+            };
             orders
-                .send(&self.context, &job, Action::Stop, ORDER_LIMIT, |contact| {
-                    contact
-                        .tasks
-                        .iter()
-                        .any(|task| task.state == TaskState::Reserved)
-                })
+                .send(&self.context, &job, Action::Stop, ORDER_LIMIT, reserved)
                 .await;
+            if orders.contacts.values().any(reserved) {
+                self.pause().await;
+            }
         }
     }
 
@@ -74,6 +92,9 @@
     }
 
     async fn reserve(&self, job: &Job, orders: &mut Orders) {
+        if !self.context.leads() {
+            return self.pause().await;
+        }
         let reason = match self.context.may_send(job) {
             Err(reason) => reason,
             Ok(()) => {
@@ -88,7 +109,10 @@
                         }
                         return;
                     }
-                    Some(reason) => reason,
+                    Some(reason) => {
+                        self.report_refusals(orders);
+                        reason
+                    }
                 }
             }
         };
@@ -107,12 +131,24 @@
         }
     }
 
+    /// Without these reports the job would be placed on the same workers again and again.
+    fn report_refusals(&self, orders: &Orders) {
+        let held = |task: &Task| task.state == TaskState::Reserved && task.token == self.token;
+        for (worker, contact) in &orders.contacts {
+            if contact.tasks.is_empty() || !contact.tasks.iter().all(held) {
+                let worker = worker.clone();
+                drop(self.failures.send(Failure::Reservation { worker }));
+            }
+        }
+    }
+
     fn unreserved(&self, job: &Job, orders: &Orders) -> Option<String> {
         let reserved = orders
             .tasks()
             .filter(|(_, task)| task.state == TaskState::Reserved && task.token == self.token)
             .count();
-        if reserved == job.attempt.as_ref().map_or(0, |a| a.members.len()) {
+        let members = job.attempt.as_ref().map_or(0, |a| a.members.len());
+        if reserved == members || (reserved > 0 && fault::is(Fault::StartWithoutAllReserved)) {
             return None;
         }
         let refused = orders
@@ -131,6 +167,9 @@
     async fn start(&self, job: &Job, orders: &mut Orders) {
         let begin = self.context.clock.now();
         loop {
+            if !self.context.leads() {
+                return self.pause().await;
+            }
             if let Err(reason) = self.context.may_send(job) {
                 return self.halt(job, reason, false).await;
             }
@@ -167,8 +206,8 @@
 
     async fn watch(&self, job: &Job, orders: &mut Orders) {
         // Renewals stop when this instance no longer leads, so that the leases end by themselves.
-        if self.context.group.view().leading_since.is_none() {
-            return;
+        if !self.context.leads() {
+            return self.pause().await;
         }
         orders
             .send(&self.context, job, Action::Renew, ORDER_LIMIT, |_| true)
@@ -205,7 +244,10 @@
             )
         })?;
         if task.state == TaskState::Failed {
-            drop(self.failures.send((self.id, worker.to_owned())));
+            drop(self.failures.send(Failure::Task {
+                job: self.id,
+                worker: worker.to_owned(),
+            }));
         }
         let state = format!("{:?}", task.state).to_lowercase();
         Some(format!(
@@ -241,15 +283,15 @@
                     TaskState::Stopped | TaskState::Done | TaskState::Failed | TaskState::Absent
                 )
             };
-            let stopped = |contact: &super::orders::Contact| {
+            let stopped = |contact: &Contact| {
                 !contact.tasks.is_empty() && contact.tasks.iter().all(|task| ended(task.state))
             };
             let open = orders
                 .contacts
                 .values()
-                .filter(|contact| !stopped(contact) && now < contact.answered + over)
+                .filter(|contact| !stopped(contact) && now < contact.leased + over)
                 .count();
-            if open == 0 {
+            if open == 0 || fault::is(Fault::RequeueBeforeLeaseEnd) {
                 break;
             }
             orders
--- a/crates/control/src/jobs/lead.rs
+++ b/crates/control/src/jobs/lead.rs
@@ -117,14 +117,20 @@
         self.configure(now);
         self.hear_workers(now);
         self.drain(now);
-        while let Ok((job, worker)) = self.failures.try_recv() {
-            self.observe(Event::TaskFailed { job, worker }, now);
+        while let Ok(failure) = self.failures.try_recv() {
+            let event = match failure {
+                Failure::Task { job, worker } => Event::TaskFailed { job, worker },
+                // It gets no new gang before it announces itself again.
+                Failure::Reservation { worker } => Event::WorkerSilent { worker },
+            };
+            self.observe(event, now);
         }
         self.take_changes(now);
         if self.last_tick.is_none_or(|last| now - last >= TICK) {
             self.last_tick = Some(now);
             let wall_ms = self.context.clock.wall_ms();
             self.observe(Event::Tick { wall_ms }, now);
+            self.resume();
         }
         if !settled {
             return;
@@ -224,7 +230,7 @@
     fn take_changes(&mut self, now: Instant) {
         let changed: Vec<Job> = {
             let mut jobs = self.context.group.state().jobs();
-            let ids: IndexSet<u64> = jobs.take_changed().into_iter().collect();
+            let ids = jobs.take_changed();
             ids.iter().filter_map(|id| jobs.get(*id).cloned()).collect()
         };
         for job in changed {
@@ -242,6 +248,27 @@
         self.gangs.retain(|_, running| !running.task.is_finished());
     }
 
+    /// Carries on attempts whose task has ended, for example because the leader's lease ended for a moment.
+    /// Nobody else would renew or stop them.
+    fn resume(&mut self) {
+        let left: Vec<Job> = {
+            let jobs = self.context.group.state().jobs();
+            let gangs = &self.gangs;
+            jobs.iter()
+                .filter(|job| job.state.holds())
+                .filter(|job| {
+                    gangs
+                        .get(&job.id)
+                        .is_none_or(|gang| gang.task.is_finished())
+                })
+                .cloned()
+                .collect()
+        };
+        for job in left {
+            self.carry_out(&job);
+        }
+    }
+
     /// Starts the task that carries out the job's attempt, or wakes the one that does.
     fn carry_out(&mut self, job: &Job) {
         let Some(attempt) = job.attempt.as_ref().filter(|_| job.state.holds()) else {
--- a/crates/control/src/jobs/orders.rs
+++ b/crates/control/src/jobs/orders.rs
@@ -13,8 +13,11 @@
 /// What is known of one worker of a gang.
 #[derive(Clone, Debug)]
 pub(super) struct Contact {
-    /// Last time at which it answered; its leases count from that answer at the latest.
+    /// Last time at which it answered.
     pub(super) answered: Instant,
+    /// Last time at which it answered an order other than `stop`; its leases count from that answer at the
+    /// latest, because an order to stop extends nothing.
+    pub(super) leased: Instant,
     /// Its clock in that answer.
     echo_ms: u64,
     /// Last known state of its tasks.
@@ -35,6 +38,7 @@
         let now = context.clock.now();
         let contact = |worker: &str| Contact {
             answered: now,
+            leased: now,
             echo_ms: context
                 .registry
                 .get(worker)
@@ -62,6 +66,9 @@
         let Some(attempt) = &job.attempt else {
             return;
         };
+        if !context.leads() {
+            return;
+        }
         let mut calls = Vec::new();
         for (name, contact) in &mut self.contacts {
             if !wanted(contact) {
@@ -85,6 +92,9 @@
             match answer {
                 Ok(Ok(answer)) => {
                     contact.answered = context.clock.now();
+                    if action != Action::Stop {
+                        contact.leased = contact.answered;
+                    }
                     contact.echo_ms = answer.clock_ms;
                     contact.tasks = answer.tasks;
                 }
