--- a/crates/quorum/tests/behaviour.rs
+++ b/crates/quorum/tests/behaviour.rs
@@ -3,24 +3,13 @@
 mod group;
 
 use {
-    group::{Group, member},
-    quorum::{
-        Body, Change, Effect, Entry, Event, Hard, Member, Message, Node, Outcome, Payload, Refusal,
-        Settings, Stable, recover,
-    },
-    std::time::{Duration, Instant},
+    group::{Group, entry, member},
+    quorum::{Body, Effect, Entry, Event, Hard, Members, Message, Outcome, Settings, Stable},
+    std::time::Duration,
 };
 
 const SECOND: Duration = Duration::from_secs(1);
 
-fn entry(index: u64, term: u64) -> Entry {
-    Entry {
-        index,
-        term,
-        payload: Payload::Command(vec![term as u8; 8]),
-    }
-}
-
 /// Guards against a group that elects no leader, or more than one, without any fault.
 #[test]
 fn elects_one_leader() {
@@ -115,7 +104,7 @@
 /// Guards against back-off by one entry per message after a follower kept entries of old terms.
 #[test]
 fn backs_off_by_terms() {
-    let bootstrap = |id| Stable::bootstrap(10 + id, quorum::Members::new((1..=3).map(member)));
+    let bootstrap = |id| Stable::bootstrap(10 + id, Members::new((1..=3).map(member)));
     let disk = |id: u64, terms: &[u64]| {
         let mut disk = bootstrap(id);
         for term in terms {
@@ -270,104 +259,6 @@
     assert!(offsets.len() <= 16 + 4, "{offsets:?}");
 }
 
-/// Guards against a replica that is promoted before it holds the log, a promotion that commits
-/// without a majority of the old voters, and a group that does not survive the next loss.
-#[test]
-fn replaces_a_disk() {
-    let mut group = Group::new(Settings::default());
-    let leader = group.elect();
-    let at = (leader + 1) % 3;
-    let new = Member {
-        id: at as u64 + 1,
-        incarnation: 99,
-    };
-    group.nodes[at] = Node::new(new.id, Settings::default(), Stable::empty(99), 9, group.now);
-    group.cut.insert(at);
-    group.propose(leader, [vec![1]]);
-    let join = Event::Change {
-        ticket: 1,
-        change: Change::Join(new),
-    };
-    assert!(matches!(
-        group.ask(leader, join),
-        Some(Outcome::Committed { .. })
-    ));
-    let promote = |ticket| Event::Change {
-        ticket,
-        change: Change::Promote(new),
-    };
-    let outcome = group.ask(leader, promote(2));
-    assert!(
-        matches!(
-            outcome,
-            Some(Outcome::Refused {
-                reason: Refusal::NotCaughtUp { .. }
-            })
-        ),
-        "{outcome:?}"
-    );
-    group.cut.clear();
-    group.run(SECOND);
-    // The old disk is gone, so the change needs the other old voter.
-    let other = 3 - leader - at;
-    group.cut.insert(other);
-    assert_eq!(group.ask(leader, promote(3)), None);
-    group.cut.clear();
-    group.run(SECOND);
-    let done = group.done.last();
-    assert!(
-        matches!(done, Some((3, Outcome::Committed { .. }))),
-        "{done:?}"
-    );
-    let voters = &group.nodes[leader].members().voters;
-    assert!(voters.contains(&new) && voters.len() == 3, "{voters:?}");
-    // The group survives the loss of another member right after the repair.
-    group.cut.insert(leader);
-    group.run(4 * SECOND);
-    assert!(
-        group
-            .nodes
-            .iter()
-            .enumerate()
-            .any(|(at, node)| at != leader && node.is_leader())
-    );
-}
-
-/// Guards against a second change that starts before the first is committed.
-#[test]
-fn allows_one_change_at_a_time() {
-    let mut group = Group::new(Settings::default());
-    let leader = group.elect();
-    group.cut.extend([(leader + 1) % 3, (leader + 2) % 3]);
-    let join = |id| Event::Change {
-        ticket: id,
-        change: Change::Join(member(id)),
-    };
-    assert_eq!(group.ask(leader, join(4)), None);
-    let refused = Outcome::Refused {
-        reason: Refusal::ChangeInProgress,
-    };
-    assert_eq!(group.ask(leader, join(5)), Some(refused));
-}
-
-/// Guards against a lost-quorum recovery that cannot elect itself or drops its log.
-#[test]
-fn recovers_alone() {
-    let mut disk = Stable::bootstrap(11, quorum::Members::new((1..=3).map(member)));
-    disk.hard = Hard {
-        term: 3,
-        vote: Some(member(2)),
-    };
-    disk.entries.push(entry(2, 3));
-    let (hard, list) = recover(1, &disk);
-    disk.hard = hard;
-    disk.entries.push(list);
-    let mut group = Group::start(Settings::default(), vec![disk]);
-    assert_eq!(group.elect(), 0);
-    assert_eq!(group.applied[0], [vec![3; 8]]);
-    assert_eq!(group.nodes[0].members().voters, [member(1)]);
-}
-
 /// Guards against reads from a lease that the target of a transfer does not respect.
 #[test]
 fn transfer_ends_the_lease() {
@@ -383,175 +274,6 @@
     assert_eq!(group.ask(leader, Event::Read { ticket: 2 }), None);
 }
 
-/// Replica 1 of three, with single messages from the others.
-struct Single {
-    node: Node,
-    now: Instant,
-}
-
-impl Single {
-    fn new(entries: &[Entry]) -> Single {
-        let now = Instant::now();
-        let mut disk = Stable::bootstrap(11, quorum::Members::new((1..=3).map(member)));
-        disk.entries.extend_from_slice(entries);
-        Single {
-            node: Node::new(1, Settings::default(), disk, 1, now),
-            now,
-        }
-    }
-
-    /// Delivers a message; returns the contents of the answers.
-    fn receive(&mut self, from: u64, term: u64, body: Body) -> Vec<Body> {
-        let message = Message {
-            term,
-            sender: 10 + from,
-            target: 11,
-            body,
-        };
-        let effects = self.node.step(Event::Message { from, message }, self.now);
-        effects.into_iter().filter_map(sent).collect()
-    }
-
-    fn append(&mut self, term: u64, prev: (u64, u64), entries: Vec<Entry>) -> Vec<Effect> {
-        let (prev_index, prev_term) = prev;
-        let body = Body::Append {
-            prev_index,
-            prev_term,
-            entries,
-            commit: 0,
-            round: 1,
-        };
-        let message = Message {
-            term,
-            sender: 12,
-            target: 11,
-            body,
-        };
-        self.node
-            .step(Event::Message { from: 2, message }, self.now)
-    }
-
-    fn synced(&mut self, index: u64) -> Option<u64> {
-        let effects = self.node.step(Event::Synced { index }, self.now);
-        effects
-            .into_iter()
-            .filter_map(sent)
-            .find_map(|body| match body {
-                Body::AppendReply { matched, .. } => Some(matched),
-                _ => None,
-            })
-    }
-}
-
-fn sent(effect: Effect) -> Option<Body> {
-    match effect {
-        Effect::Send { message, .. } => Some(message.body),
-        _ => None,
-    }
-}
-
-/// Guards against a vote that lets a new leader be elected during the lease of the old one.
-#[test]
-fn refuses_votes_while_a_lease_may_hold() {
-    let mut single = Single::new(&[]);
-    let (last_index, last_term) = (9, 9);
-    let vote = Body::Vote {
-        last_index,
-        last_term,
-        transfer: false,
-    };
-    let ask = Body::PreVote {
-        next_term: 8,
-        last_index,
-        last_term,
-    };
-    let no = [Body::PreVoteReply {
-        next_term: 8,
-        granted: false,
-    }];
-    let yes = [Body::PreVoteReply {
-        next_term: 8,
-        granted: true,
-    }];
-    // After a start, and after a heartbeat.
-    for _ in 0..2 {
-        single.now += Duration::from_millis(899);
-        assert_eq!(single.receive(3, 8, vote.clone()), []);
-        assert_eq!(single.receive(3, 7, ask.clone()), no);
-        single.receive(
-            2,
-            7,
-            Body::Heartbeat {
-                commit: 0,
-                round: 1,
-            },
-        );
-    }
-    single.now += Duration::from_millis(900);
-    assert_eq!(single.receive(3, 7, ask), yes);
-    assert_eq!(
-        single.receive(3, 8, vote),
-        [Body::VoteReply { granted: true }]
-    );
-}
-
-/// Guards against the commit of an older term's entry that a later leader may still overwrite.
-#[test]
-fn commits_old_terms_only_with_its_own() {
-    let mut single = Single::new(&[entry(2, 1), entry(3, 2)]);
-    single.now += 2 * SECOND;
-    single.node.step(Event::Tick, single.now);
-    single.receive(
-        2,
-        2,
-        Body::PreVoteReply {
-            next_term: 3,
-            granted: true,
-        },
-    );
-    single.receive(2, 3, Body::VoteReply { granted: true });
-    assert_eq!(single.node.leader(), Some(1));
-    single.node.step(Event::Synced { index: 4 }, single.now);
-    single.receive(
-        2,
-        3,
-        Body::AppendReply {
-            matched: 3,
-            round: 1,
-        },
-    );
-    assert_eq!(single.node.commit_index(), 0);
-    single.receive(
-        2,
-        3,
-        Body::AppendReply {
-            matched: 4,
-            round: 1,
-        },
-    );
-    assert_eq!(single.node.commit_index(), 4);
-}
-
-/// Guards against a late `Synced` of overwritten entries that acknowledges their replacement.
-#[test]
-fn late_sync_does_not_cover_new_entries() {
-    let mut single = Single::new(&[]);
-    single.append(1, (1, 0), vec![entry(2, 1), entry(3, 1)]);
-    let effects = single.append(2, (1, 0), vec![entry(2, 2), entry(3, 2)]);
-    assert!(
-        matches!(
-            effects.last(),
-            Some(Effect::Persist {
-                truncate: Some(2),
-                ..
-            })
-        ),
-        "{effects:?}"
-    );
-    assert_eq!(single.synced(3), Some(1), "the first write was overwritten");
-    assert_eq!(single.synced(3), Some(3));
-}
-
 /// Guards against messages that multiply when a disk lost entries it had acknowledged: each
 /// duplicate of a rejection caused another probe that was rejected again.
 #[test]
--- a/crates/quorum/tests/group/mod.rs
+++ b/crates/quorum/tests/group/mod.rs
@@ -1,9 +1,12 @@
 //! Replicas whose effects are performed at once, with replicas that can be cut off.
 
+// Each test file uses a part of this module.
+#![allow(dead_code)]
+
 use {
     quorum::{
-        Body, Effect, Event, Member, Members, Message, Node, Outcome, Payload, Settings, Snapshot,
-        Stable,
+        Body, Effect, Entry, Event, Member, Members, Message, Node, Outcome, Payload, Settings,
+        Snapshot, Stable,
     },
     std::{
         collections::{HashSet, VecDeque},
@@ -31,6 +34,14 @@
     }
 }
 
+pub fn entry(index: u64, term: u64) -> Entry {
+    Entry {
+        index,
+        term,
+        payload: Payload::Command(vec![term as u8; 8]),
+    }
+}
+
 impl Group {
     pub fn new(settings: Settings) -> Group {
         let members = Members::new((1..=3).map(member));
--- /dev/null
+++ b/crates/quorum/tests/membership.rs
@@ -0,0 +1,136 @@
+//! Membership changes and the recovery of a lost quorum.
+
+mod group;
+
+use {
+    group::{Group, entry, member},
+    quorum::{
+        Change, Event, Hard, Member, Members, Node, Outcome, Refusal, Settings, Stable, recover,
+    },
+    std::time::Duration,
+};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Guards against a replica that is promoted before it holds the log, a promotion that commits
+/// without a majority of the old voters, and a group that does not survive the next loss.
+#[test]
+fn replaces_a_disk() {
+    let mut group = Group::new(Settings::default());
+    let leader = group.elect();
+    let at = (leader + 1) % 3;
+    let new = Member {
+        id: at as u64 + 1,
+        incarnation: 99,
+    };
+    group.nodes[at] = Node::new(new.id, Settings::default(), Stable::empty(99), 9, group.now);
+    group.cut.insert(at);
+    group.propose(leader, [vec![1]]);
+    let join = Event::Change {
+        ticket: 1,
+        change: Change::Join(new),
+    };
+    assert!(matches!(
+        group.ask(leader, join),
+        Some(Outcome::Committed { .. })
+    ));
+    let promote = |ticket| Event::Change {
+        ticket,
+        change: Change::Promote(new),
+    };
+    let outcome = group.ask(leader, promote(2));
+    assert!(
+        matches!(
+            outcome,
+            Some(Outcome::Refused {
+                reason: Refusal::NotCaughtUp { .. }
+            })
+        ),
+        "{outcome:?}"
+    );
+    group.cut.clear();
+    group.run(SECOND);
+    // The old disk is gone, so the change needs the other old voter.
+    let other = 3 - leader - at;
+    group.cut.insert(other);
+    assert_eq!(group.ask(leader, promote(3)), None);
+    group.cut.clear();
+    group.run(SECOND);
+    let done = group.done.last();
+    assert!(
+        matches!(done, Some((3, Outcome::Committed { .. }))),
+        "{done:?}"
+    );
+    let voters = &group.nodes[leader].members().voters;
+    assert!(voters.contains(&new) && voters.len() == 3, "{voters:?}");
+    // The group survives the loss of another member right after the repair.
+    group.cut.insert(leader);
+    group.run(4 * SECOND);
+    assert!(
+        group
+            .nodes
+            .iter()
+            .enumerate()
+            .any(|(at, node)| at != leader && node.is_leader())
+    );
+}
+
+/// Guards against a group that cannot grow from the single replica that an operator bootstraps.
+#[test]
+fn grows_from_one() {
+    let first = Stable::bootstrap(11, Members::new([member(1)]));
+    let disks = vec![first, Stable::empty(12), Stable::empty(13)];
+    let mut group = Group::start(Settings::default(), disks);
+    assert_eq!(group.elect(), 0);
+    group.propose(0, [vec![1]]);
+    for id in [2, 3] {
+        for change in [Change::Join(member(id)), Change::Promote(member(id))] {
+            group.step(0, Event::Change { ticket: id, change });
+            group.run(SECOND);
+            let done = group.done.last();
+            assert!(
+                matches!(done, Some((_, Outcome::Committed { .. }))),
+                "{change:?}: {done:?}"
+            );
+        }
+    }
+    group.cut.insert(0);
+    group.run(4 * SECOND);
+    assert!(group.nodes[1].is_leader() || group.nodes[2].is_leader());
+    assert!(group.applied.iter().all(|applied| *applied == [vec![1]]));
+}
+
+/// Guards against a second change that starts before the first is committed.
+#[test]
+fn allows_one_change_at_a_time() {
+    let mut group = Group::new(Settings::default());
+    let leader = group.elect();
+    group.cut.extend([(leader + 1) % 3, (leader + 2) % 3]);
+    let join = |id| Event::Change {
+        ticket: id,
+        change: Change::Join(member(id)),
+    };
+    assert_eq!(group.ask(leader, join(4)), None);
+    let refused = Outcome::Refused {
+        reason: Refusal::ChangeInProgress,
+    };
+    assert_eq!(group.ask(leader, join(5)), Some(refused));
+}
+
+/// Guards against a lost-quorum recovery that cannot elect itself or drops its log.
+#[test]
+fn recovers_alone() {
+    let mut disk = Stable::bootstrap(11, Members::new((1..=3).map(member)));
+    disk.hard = Hard {
+        term: 3,
+        vote: Some(member(2)),
+    };
+    disk.entries.push(entry(2, 3));
+    let (hard, list) = recover(1, &disk);
+    disk.hard = hard;
+    disk.entries.push(list);
+    let mut group = Group::start(Settings::default(), vec![disk]);
+    assert_eq!(group.elect(), 0);
+    assert_eq!(group.applied[0], [vec![3; 8]]);
+    assert_eq!(group.nodes[0].members().voters, [member(1)]);
+}
--- /dev/null
+++ b/crates/quorum/tests/single.rs
@@ -0,0 +1,178 @@
+//! One replica that is given single messages.
+
+mod group;
+
+use {
+    group::{entry, member},
+    quorum::{Body, Effect, Entry, Event, Members, Message, Node, Settings, Stable},
+    std::time::{Duration, Instant},
+};
+
+/// Replica 1 of three, with single messages from the others.
+struct Single {
+    node: Node,
+    now: Instant,
+}
+
+impl Single {
+    fn new(entries: &[Entry]) -> Single {
+        let now = Instant::now();
+        let mut disk = Stable::bootstrap(11, Members::new((1..=3).map(member)));
+        disk.entries.extend_from_slice(entries);
+        Single {
+            node: Node::new(1, Settings::default(), disk, 1, now),
+            now,
+        }
+    }
+
+    /// Delivers a message; returns the contents of the answers.
+    fn receive(&mut self, from: u64, term: u64, body: Body) -> Vec<Body> {
+        let message = Message {
+            term,
+            sender: 10 + from,
+            target: 11,
+            body,
+        };
+        let effects = self.node.step(Event::Message { from, message }, self.now);
+        effects.into_iter().filter_map(sent).collect()
+    }
+
+    fn append(&mut self, term: u64, prev: (u64, u64), entries: Vec<Entry>) -> Vec<Effect> {
+        let (prev_index, prev_term) = prev;
+        let body = Body::Append {
+            prev_index,
+            prev_term,
+            entries,
+            commit: 0,
+            round: 1,
+        };
+        let message = Message {
+            term,
+            sender: 12,
+            target: 11,
+            body,
+        };
+        self.node
+            .step(Event::Message { from: 2, message }, self.now)
+    }
+
+    fn synced(&mut self, index: u64) -> Option<u64> {
+        let effects = self.node.step(Event::Synced { index }, self.now);
+        effects
+            .into_iter()
+            .filter_map(sent)
+            .find_map(|body| match body {
+                Body::AppendReply { matched, .. } => Some(matched),
+                _ => None,
+            })
+    }
+}
+
+fn sent(effect: Effect) -> Option<Body> {
+    match effect {
+        Effect::Send { message, .. } => Some(message.body),
+        _ => None,
+    }
+}
+
+/// Guards against a vote that lets a new leader be elected during the lease of the old one.
+#[test]
+fn refuses_votes_while_a_lease_may_hold() {
+    let mut single = Single::new(&[]);
+    let (last_index, last_term) = (9, 9);
+    let vote = Body::Vote {
+        last_index,
+        last_term,
+        transfer: false,
+    };
+    let ask = Body::PreVote {
+        next_term: 8,
+        last_index,
+        last_term,
+    };
+    let no = [Body::PreVoteReply {
+        next_term: 8,
+        granted: false,
+    }];
+    let yes = [Body::PreVoteReply {
+        next_term: 8,
+        granted: true,
+    }];
+    // After a start, and after a heartbeat.
+    for _ in 0..2 {
+        single.now += Duration::from_millis(899);
+        assert_eq!(single.receive(3, 8, vote.clone()), []);
+        assert_eq!(single.receive(3, 7, ask.clone()), no);
+        single.receive(
+            2,
+            7,
+            Body::Heartbeat {
+                commit: 0,
+                round: 1,
+            },
+        );
+    }
+    single.now += Duration::from_millis(900);
+    assert_eq!(single.receive(3, 7, ask), yes);
+    assert_eq!(
+        single.receive(3, 8, vote),
+        [Body::VoteReply { granted: true }]
+    );
+}
+
+/// Guards against the commit of an older term's entry that a later leader may still overwrite.
+#[test]
+fn commits_old_terms_only_with_its_own() {
+    let mut single = Single::new(&[entry(2, 1), entry(3, 2)]);
+    single.now += Duration::from_secs(2);
+    single.node.step(Event::Tick, single.now);
+    single.receive(
+        2,
+        2,
+        Body::PreVoteReply {
+            next_term: 3,
+            granted: true,
+        },
+    );
+    single.receive(2, 3, Body::VoteReply { granted: true });
+    assert_eq!(single.node.leader(), Some(1));
+    single.node.step(Event::Synced { index: 4 }, single.now);
+    single.receive(
+        2,
+        3,
+        Body::AppendReply {
+            matched: 3,
+            round: 1,
+        },
+    );
+    assert_eq!(single.node.commit_index(), 0);
+    single.receive(
+        2,
+        3,
+        Body::AppendReply {
+            matched: 4,
+            round: 1,
+        },
+    );
+    assert_eq!(single.node.commit_index(), 4);
+}
+
+/// Guards against a late `Synced` of overwritten entries that acknowledges their replacement.
+#[test]
+fn late_sync_does_not_cover_new_entries() {
+    let mut single = Single::new(&[]);
+    single.append(1, (1, 0), vec![entry(2, 1), entry(3, 1)]);
+    let effects = single.append(2, (1, 0), vec![entry(2, 2), entry(3, 2)]);
+    assert!(
+        matches!(
+            effects.last(),
+            Some(Effect::Persist {
+                truncate: Some(2),
+                ..
+            })
+        ),
+        "{effects:?}"
+    );
+    assert_eq!(single.synced(3), Some(1), "the first write was overwritten");
+    assert_eq!(single.synced(3), Some(3));
+}
