--- a/crates/trial/src/jobs/bound.rs
+++ b/crates/trial/src/jobs/bound.rs
@@ -1,20 +1,55 @@
 use {
-    super::load::Work,
-    std::{cmp::Reverse, collections::BinaryHeap},
+    super::{
+        load::Work,
+        site::{config, workers},
+    },
+    std::{
+        cmp::Reverse,
+        collections::{BTreeMap, BinaryHeap},
+    },
 };
 
-/// Accelerators of the deployment.
-const TOTAL: u64 = 384;
-
 /// A lower bound on the mean time from arrival to end, in seconds, that knows all true run times.
 ///
-/// It is the larger of two bounds: the mean run time, and the mean time in a relaxed problem in which
-/// the whole deployment is one pool that always serves the job with the least remaining work, without
-/// regard to shape, place and the most accelerators that a job can use.
+/// For each region it is the larger of two bounds: the sum of the run times, and the sum of the times
+/// in a relaxed problem in which the region is one pool that always serves the job with the least
+/// remaining work, without regard to shape, data centre and the most accelerators that a job can use.
 pub fn mean_completion(works: &[Work], choose: impl Fn(&Work) -> bool) -> f64 {
-    let works: Vec<_> = works.iter().filter(|work| choose(work)).collect();
-    let count = works.len().max(1) as f64;
-    let runs = works.iter().map(|work| work.run_ms as f64).sum::<f64>() / count;
+    let config = config();
+    let region = |work: &Work| match &work.spec.place {
+        Some(place) => place.region().to_owned(),
+        None => config
+            .homes
+            .get(&work.spec.account)
+            .cloned()
+            .unwrap_or_default(),
+    };
+    let mut regions: BTreeMap<String, Vec<&Work>> = BTreeMap::new();
+    let mut count = 0;
+    for work in works.iter().filter(|work| choose(work)) {
+        regions.entry(region(work)).or_default().push(work);
+        count += 1;
+    }
+    let pool = |region: &str| {
+        let here = workers()
+            .into_iter()
+            .filter(|worker| worker.site.region == region);
+        here.map(|worker| u64::from(worker.accelerators))
+            .sum::<u64>()
+            .max(1)
+    };
+    let sum: u64 = regions
+        .iter()
+        .map(|(region, works)| {
+            let runs: u64 = works.iter().map(|work| work.run_ms).sum();
+            runs.max(pooled(works, pool(region)))
+        })
+        .sum();
+    sum as f64 / f64::from(count.max(1)) / 1000.0
+}
+
+/// Sum of the times from arrival to end in one pool of `total` accelerators, in milliseconds.
+fn pooled(works: &[&Work], total: u64) -> u64 {
     // Work is counted in accelerator milliseconds.
     let mut queue: BinaryHeap<Reverse<(u64, u64)>> = BinaryHeap::new();
     let mut now = 0;
@@ -24,10 +59,10 @@
         let next = arrivals.peek().map(|work| work.at_ms);
         match queue.pop() {
             Some(Reverse((left, at))) => {
-                let end = now + left.div_ceil(TOTAL);
+                let end = now + left.div_ceil(total);
                 match next {
                     Some(next) if next < end => {
-                        let left = left.saturating_sub((next - now) * TOTAL);
+                        let left = left.saturating_sub((next - now) * total);
                         queue.push(Reverse((left, at)));
                         now = next;
                     }
@@ -48,5 +83,5 @@
             queue.push(Reverse((size, work.at_ms)));
         }
     }
-    runs.max(sum as f64 / count) / 1000.0
+    sum
 }
