--- a/crates/gang/src/reclaim/mod.rs
+++ b/crates/gang/src/reclaim/mod.rs
@@ -7,5 +7,5 @@
 pub use {
     booking::{Booking, Kind},
     holder::{Cost, Holders},
-    plan::Search,
+    plan::{Plan, Search},
 };
--- a/crates/gang/src/scheduler/compact.rs
+++ b/crates/gang/src/scheduler/compact.rs
@@ -3,7 +3,7 @@
     crate::{
         Reason,
         fleet::{Filter, pack},
-        reclaim::{Booking, Kind, Search},
+        reclaim::{Booking, Holders, Kind, Plan, Search},
     },
 };
 
@@ -74,27 +74,7 @@
             if plan.cost.main + u64::from(moved) * MOVE_SECONDS > gain {
                 continue;
             }
-            // Every moved gang must fit elsewhere at once.
-            let mut room = turn.view.clone();
-            plan.parts.iter().for_each(|part| room.hold(part));
-            let fits = plan.holders.iter().all(|job| {
-                let Some(other) = self.jobs.get(job) else {
-                    return false;
-                };
-                let centres = self.open_centres(other, turn, true);
-                let filter = Filter {
-                    centres: &centres,
-                    avoid: &[],
-                };
-                match pack(&self.fleet, &room, &other.shape, filter) {
-                    Some(parts) => {
-                        parts.iter().for_each(|part| room.hold(part));
-                        true
-                    }
-                    None => false,
-                }
-            });
-            if !fits {
+            if !self.fit_elsewhere(id, &plan, &holders, turn) {
                 continue;
             }
             let stoppable = self
@@ -119,4 +99,37 @@
             return;
         }
     }
+
+    /// Tells whether all gangs that a plan moves fit elsewhere at once. Sweeps need not; they wait.
+    /// Other work may take the place of sweeps.
+    fn fit_elsewhere(&self, id: u64, plan: &Plan, holders: &Holders, turn: &Turn) -> bool {
+        let mut room = turn.view.clone();
+        for (job, holder) in &holders.jobs {
+            let sweep = self
+                .jobs
+                .get(job)
+                .is_some_and(|other| self.rank(other, turn.now) == 2);
+            if sweep || plan.holders.contains(job) {
+                holder.parts.iter().for_each(|part| room.free(part));
+            }
+        }
+        self.hold_soft(id, &mut room);
+        plan.parts.iter().for_each(|part| room.hold(part));
+        plan.holders.iter().all(|job| {
+            let Some(other) = self.jobs.get(job) else {
+                return false;
+            };
+            if self.rank(other, turn.now) == 2 {
+                return true;
+            }
+            let centres = self.open_centres(other, turn, true);
+            let filter = Filter {
+                centres: &centres,
+                avoid: &[],
+            };
+            let parts = pack(&self.fleet, &room, &other.shape, filter);
+            parts.iter().flatten().for_each(|part| room.hold(part));
+            parts.is_some()
+        })
+    }
 }
