--- a/crates/gang/src/scheduler/decide.rs
+++ b/crates/gang/src/scheduler/decide.rs
@@ -24,6 +24,8 @@
 struct Head {
     rank: u8,
     share: f64,
+    /// Accelerators of a sweep, larger first; nothing for other work.
+    size: Reverse<u32>,
     key: Key,
 }
 
@@ -41,6 +43,7 @@
         self.rank
             .cmp(&other.rank)
             .then(by_share)
+            .then(self.size.cmp(&other.size))
             .then(self.key.cmp(&other.key))
     }
 }
@@ -116,9 +119,11 @@
             .account(record.account)
             .map_or(1, |account| account.weight.max(1));
         let ahead = f64::from(ledger.held) * SHARE_AHEAD_SECONDS / f64::from(weight);
+        let rank = self.rank(record, now);
         Head {
-            rank: self.rank(record, now),
+            rank,
             share: ledger.served + ahead,
+            size: Reverse(if rank == 2 { record.accelerators() } else { 0 }),
             key,
         }
     }
