Compact for several of the largest queued gangs at once

Cause: one gang a minute did not keep up with the holes that ending work leaves, and a largest gang that its quota holds up kept all others from being considered.

--- a/crates/gang/src/scheduler/compact.rs
+++ b/crates/gang/src/scheduler/compact.rs
@@ -5,15 +5,19 @@
         fleet::{Filter, pack},
         reclaim::{Booking, Holders, Kind, Plan, Search},
     },
+    std::cmp::Reverse,
 };
 
 /// Seconds that a gang loses by a checkpoint, a stop and a new start, beside the work since its last
 /// checkpoint.
 const MOVE_SECONDS: u64 = 10;
 
+/// Gangs for which one compaction tries to make room, the largest first.
+const COMPACT_TRIES: usize = 4;
+
 impl Scheduler {
-    /// Moves stoppable work by checkpoint when that frees a place for the largest queued gang and
-    /// costs less accelerator time than the gang has waited.
+    /// Moves stoppable work by checkpoint when that frees places for the largest queued gangs and
+    /// costs less accelerator time than they have waited.
     pub(crate) fn compact(&mut self, turn: &mut Turn) {
         let elapsed = self
             .compacted
@@ -21,18 +25,36 @@
         if elapsed.is_some_and(|elapsed| elapsed < self.settings.compact_every) {
             return;
         }
-        let largest = turn
+        let mut queued: Vec<_> = turn
             .blocked
             .iter()
-            .filter(|id| self.bookings.get(id).is_none_or(Booking::is_soft))
-            .filter_map(|id| Some((self.jobs.get(id)?.accelerators(), *id)))
-            .max_by_key(|(size, id)| (*size, std::cmp::Reverse(*id)));
-        let Some((size, id)) = largest else {
-            return;
-        };
-        let Some(record) = self.jobs.get(&id).filter(|_| self.within_quota(id)) else {
-            return;
+            .filter_map(|id| Some((Reverse(self.jobs.get(id)?.accelerators()), *id)))
+            .collect();
+        queued.sort_unstable();
+        for (_, id) in queued.into_iter().take(COMPACT_TRIES) {
+            let mut next = Some(id);
+            while let Some(id) = next.filter(|id| self.compact_one(*id, turn)) {
+                self.compacted = Some(turn.now);
+                next = self.jobs.get(&id).and_then(|record| {
+                    let key = (record.submitted_ms, id);
+                    let after = self
+                        .queue
+                        .after(record.account, record.class, &record.ask(), key);
+                    after.map(|(_, id)| id)
+                });
+            }
+        }
+    }
+
+    /// Makes room for one gang. Returns whether it did.
+    fn compact_one(&mut self, id: u64, turn: &mut Turn) -> bool {
+        if !self.bookings.get(&id).is_none_or(Booking::is_soft) || !self.within_quota(id) {
+            return false;
+        }
+        let Some(record) = self.jobs.get(&id) else {
+            return false;
         };
+        let size = record.accelerators();
         let centres = self.open_centres(record, turn, true);
         let mut free = self.free_of(turn);
         self.hold_soft(id, &mut free);
@@ -46,7 +68,7 @@
             .map(|(space, _)| space.mask.len())
             .sum();
         if total < size {
-            return;
+            return false;
         }
         let holders = self.holders(|job, other| {
             other.borrowed && other.is_stoppable() && !self.is_reserved(id, job)
@@ -71,6 +93,10 @@
                 .filter_map(|job| self.jobs.get(job))
                 .map(|other| other.accelerators())
                 .sum();
+            // Moving as many accelerators of sweeps as the gang needs gains nothing.
+            if moved >= size && self.rank_of(id, turn) == 2 {
+                continue;
+            }
             if plan.cost.main + u64::from(moved) * MOVE_SECONDS > gain {
                 continue;
             }
@@ -84,7 +110,6 @@
             if !stoppable && !self.admit(id, None, &plan.parts) {
                 continue;
             }
-            self.compacted = Some(turn.now);
             for victim in &plan.holders {
                 self.ask(*victim, Reason::Compaction { job: id }, turn);
             }
@@ -96,8 +121,15 @@
                 since: turn.now,
             };
             self.bookings.insert(id, booking);
-            return;
+            return true;
         }
+        false
+    }
+
+    fn rank_of(&self, id: u64, turn: &Turn) -> u8 {
+        self.jobs
+            .get(&id)
+            .map_or(0, |record| self.rank(record, turn.now))
     }
 
     /// Tells whether all gangs that a plan moves fit elsewhere at once. Sweeps need not; they wait.
