--- a/crates/route/src/member/members.rs
+++ b/crates/route/src/member/members.rs
@@ -19,8 +19,10 @@
 /// takes at most the interval of announcements plus that of gossip, 1.5 s.
 const STALE: Duration = Duration::from_millis(1500);
 
-/// Time for which entries are then pulled with every message.
+/// Time for which entries are then pulled with every message, and after news of an unknown entry, which most
+/// often means that this instance has just started.
 const PULL_TIME: Duration = Duration::from_secs(10);
+const FIRST_PULL_TIME: Duration = Duration::from_secs(2);
 
 /// How an entry came to this instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -199,6 +201,8 @@
                 let shown = exchange.shown.get(name).copied();
                 let repeats = match shown {
                     Some((content, _, left)) if content == entry.content => left,
+                    // The peer knows what it was not told from here.
+                    None if exchange.agrees => 0,
                     _ => REPEATS,
                 };
                 if all || repeats > 0 {
@@ -322,6 +326,7 @@
             return;
         };
         let same = delta.digest == digest;
+        exchange.agrees = same;
         exchange.mismatches = if same { 0 } else { exchange.mismatches + 1 };
         if exchange.mismatches >= MISMATCHES_BEFORE_PULL {
             exchange.mismatches = 0;
@@ -330,14 +335,20 @@
         let heard = |age_ms: u64| now.checked_sub(transit + Duration::from_millis(age_ms));
         for record in delta.records {
             if let Some(at) = heard(record.age_ms) {
-                let stale = self
-                    .live_entry(&record.announcement.upstream.name, now)
-                    .is_none_or(|entry| {
-                        now.duration_since(entry.heard) >= STALE
-                            && record.announcement.sequence > entry.announcement.sequence
-                    });
-                if let (true, Some(exchange)) = (stale, self.exchanges.get_mut(&delta.from)) {
-                    exchange.pull_until = Some(now + PULL_TIME);
+                let known = self.live_entry(&record.announcement.upstream.name, now);
+                // Entries of other regions pass two relays and are often that old.
+                let near = record.announcement.upstream.site.region == self.region;
+                let pull_time = match known {
+                    _ if !near => None,
+                    None => Some(FIRST_PULL_TIME),
+                    Some(entry) => (now.duration_since(entry.heard) >= STALE
+                        && record.announcement.sequence > entry.announcement.sequence)
+                        .then_some(PULL_TIME),
+                };
+                if let (Some(time), Some(exchange)) =
+                    (pull_time, self.exchanges.get_mut(&delta.from))
+                {
+                    exchange.pull_until = exchange.pull_until.max(Some(now + time));
                 }
                 self.merge(record.announcement, at, origin, now);
             }
--- a/crates/route/src/member/peer.rs
+++ b/crates/route/src/member/peer.rs
@@ -27,6 +27,8 @@
     pub(super) received: Option<(u64, Instant)>,
     /// Per upstream: the content digest and sequence sent last, and how often the content is still repeated.
     pub(super) shown: IndexMap<String, (u64, u64, u8)>,
+    /// Whether the peer's last digest was the own one.
+    pub(super) agrees: bool,
     pub(super) mismatches: u8,
     pub(super) wants_pull: bool,
     pub(super) asked_pull: bool,
@@ -42,6 +44,7 @@
             sent: VecDeque::new(),
             received: None,
             shown: IndexMap::new(),
+            agrees: false,
             mismatches: 0,
             wants_pull: false,
             asked_pull: false,
--- a/crates/trial/examples/requests.rs
+++ b/crates/trial/examples/requests.rs
@@ -4,7 +4,7 @@
 
 use {
     std::time::Duration,
-    trial::requests::{Options, run},
+    trial::requests::{Options, run, traffic},
 };
 
 fn main() {
@@ -19,4 +19,10 @@
         options.crest_time = Duration::from_secs(seconds);
     }
     print!("{}", run(options));
+    println!("\nmessages between instances without demand, bytes/s sent per instance (JSON)");
+    println!("  upstreams instances     gossip  reports and grants");
+    for (upstreams, instances) in [(24, 7), (48, 4), (48, 7), (48, 8), (96, 8), (192, 8)] {
+        let (gossip, shares) = traffic(upstreams, instances);
+        println!("  {upstreams:>9} {instances:>9} {gossip:>10.0} {shares:>19.0}");
+    }
 }
--- a/crates/trial/src/requests/mod.rs
+++ b/crates/trial/src/requests/mod.rs
@@ -38,3 +38,18 @@
     }
     report
 }
+
+/// Bytes per second that each instance sends without demand, as JSON: gossip, and reports with grants.
+pub fn traffic(upstreams: usize, instances: usize) -> (f64, f64) {
+    let options = Options {
+        upstreams,
+        instances,
+        ..Options::default()
+    };
+    let run = world::World::run(&options, Scenario::Idle, Policy::Current, 1);
+    let scale = (run.end - workload::WARM) * instances as f64;
+    (
+        run.gossip_bytes as f64 / scale,
+        run.share_bytes as f64 / scale,
+    )
+}
--- a/crates/trial/src/requests/options.rs
+++ b/crates/trial/src/requests/options.rs
@@ -30,6 +30,8 @@
     Short,
     /// The same short work beside a backlog of batch that would fill every slot.
     Backlog,
+    /// No demand: only the messages between instances.
+    Idle,
     /// 90% of capacity while an instance dies, upstreams depart and messages are lost.
     Failures,
 }
--- a/crates/trial/src/requests/report.rs
+++ b/crates/trial/src/requests/report.rs
@@ -72,7 +72,7 @@
         {
             self.broken.push((policy, text));
         }
-        let seconds = measured.crest.end;
+        let seconds = measured.crest.end - workload::WARM;
         let instances = self.options.instances as f64;
         let values: [(Bound, f64); 14] = [
             (
--- a/crates/trial/src/requests/workload.rs
+++ b/crates/trial/src/requests/workload.rs
@@ -83,6 +83,7 @@
             mixed(if crest { options.crest } else { options.base })
         }
         Scenario::Failures => mixed(0.9),
+        Scenario::Idle => (0.0, 0.0),
         Scenario::Short | Scenario::Backlog => {
             let burst = bursts.iter().any(|(from, to)| (*from..*to).contains(&at));
             (if burst { 0.45 } else { 0.15 }, 0.0)
--- a/crates/trial/src/requests/world.rs
+++ b/crates/trial/src/requests/world.rs
@@ -536,7 +536,7 @@
             .unwrap_or_default();
         for (to, delta) in messages {
             let to = to as usize - 1;
-            self.outcome.gossip_bytes += size(&delta);
+            self.count(|outcome| &mut outcome.gossip_bytes, &delta);
             if !self.lost() {
                 let delay = latency(&workload::site(node), &workload::site(to));
                 self.after(
@@ -565,7 +565,7 @@
             .map(|region| (region.clone(), router.report(&region, now)))
             .collect();
         for (region, report) in reports {
-            self.outcome.share_bytes += size(&report);
+            self.count(|outcome| &mut outcome.share_bytes, &report);
             if !self.lost() {
                 let home = workload::site(node).region == region;
                 let delay = if home { REGION } else { CROSS };
@@ -608,7 +608,7 @@
             return;
         };
         let to = grant.instance as usize - 1;
-        self.outcome.share_bytes += size(&grant);
+        self.count(|outcome| &mut outcome.share_bytes, &grant);
         if !self.lost() {
             let home = workload::site(to).region == region;
             let delay = if home { REGION } else { CROSS };
@@ -654,6 +654,17 @@
         self.observe(node, Event::Announced(announcement));
     }
 
+    /// Counts the bytes of a message once the measurement has begun.
+    fn count(
+        &mut self,
+        counter: impl Fn(&mut Outcome) -> &mut u64,
+        message: &impl serde::Serialize,
+    ) {
+        if self.now >= WARM {
+            *counter(&mut self.outcome) += size(message);
+        }
+    }
+
     /// The region of the dead leader elects its next live instance.
     fn elect(&mut self) {
         let now = self.instant();
