Hold a key until the end of its claim is known

A release names account and key only. When a claim was committed without an answer, its late release could free the key while a resend ran, and a third sending would have run again. A key is now in use on an instance until its claim has ended there; two tests send a key twenty times at once and after a lost claim.

--- a/crates/entry/src/body/relay.rs
+++ b/crates/entry/src/body/relay.rs
@@ -198,7 +198,7 @@
         } = self;
         lease.put_back();
         if let Some(key) = call.claim() {
-            let (account, key) = (call.account.clone(), key.to_owned());
+            let key = key.to_owned();
             let body = kept.map(|bytes| bytes.to_vec());
             let answer = Answer {
                 status,
@@ -206,8 +206,8 @@
                 body,
             };
             let commit = tokio::spawn(async move {
-                if !deps.claims.answer(&account, &key, answer).await {
-                    log::warn!(account = account.as_str(); "event=answer_not_committed");
+                if !deps.claims.answer(&call.account, &key, answer).await {
+                    log::warn!(account = call.account.as_str(); "event=answer_not_committed");
                 }
             });
             let _ = timeout(COMMIT_TIMEOUT, commit).await;
@@ -217,9 +217,9 @@
     /// The answer will never be whole.
     fn lose(&self) {
         if let Some(key) = self.call.claim() {
-            let (account, key) = (self.call.account.clone(), key.to_owned());
+            let (call, key) = (self.call.clone(), key.to_owned());
             let claims = self.deps.claims.clone();
-            tokio::spawn(async move { claims.lost(&account, &key).await });
+            tokio::spawn(async move { claims.lost(&call.account, &key).await });
         }
     }
 
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -1,9 +1,12 @@
 use {
-    crate::body::Source,
+    crate::{body::Source, filter::Hold},
     http::{HeaderMap, Method, Uri},
     model::request::Class,
     std::{
-        sync::atomic::{AtomicU64, Ordering},
+        sync::{
+            Arc, OnceLock,
+            atomic::{AtomicU64, Ordering},
+        },
         time::Instant,
     },
     tokio::sync::OwnedSemaphorePermit,
@@ -26,6 +29,8 @@
     pub(crate) body: Source,
     /// Holds the memory of a body that is kept for a second send.
     pub(crate) _memory: Option<OwnedSemaphorePermit>,
+    /// The key of a claimed request.
+    pub(crate) hold: OnceLock<Arc<Hold>>,
     pub(crate) traffic: Traffic,
 }
 
--- a/crates/entry/src/deps/claims.rs
+++ b/crates/entry/src/deps/claims.rs
@@ -31,7 +31,8 @@
     /// Commits the first answer. Returns false if that failed.
     async fn answer(&self, account: &str, key: &str, answer: Answer) -> bool;
 
-    /// Commits that nothing was sent. Returns false if that failed.
+    /// Commits that nothing was sent. Returns true once this process has no claim under the key, also if it
+    /// never had one; false if that could not be found out.
     async fn release(&self, account: &str, key: &str) -> bool;
 
     /// Commits that the answer was lost. Returns false if that failed.
--- a/crates/entry/src/filter/chain.rs
+++ b/crates/entry/src/filter/chain.rs
@@ -1,5 +1,5 @@
 use {
-    super::{claim, forward, identify, limit, place, queue},
+    super::{claim, forward, identify, keys::Keys, limit, place, queue},
     crate::{
         body::Reply,
         call::Call,
@@ -21,6 +21,8 @@
 pub(crate) struct Context {
     pub(crate) deps: Deps,
     pub(crate) pool: Pool,
+    /// Keys with a claim in progress.
+    pub(crate) keys: Keys,
     /// Memory for bodies that are kept for a second send.
     pub(crate) memory: Arc<Semaphore>,
 }
--- a/crates/entry/src/filter/claim.rs
+++ b/crates/entry/src/filter/claim.rs
@@ -1,5 +1,5 @@
 use {
-    super::chain::Context,
+    super::{chain::Context, keys::Hold},
     crate::{
         call::Call,
         deps::{Begin, Claims},
@@ -8,20 +8,26 @@
     },
     http::StatusCode,
     std::{sync::Arc, time::Duration},
-    tokio::time::timeout,
+    tokio::time::{sleep, timeout},
 };
 
 /// Time to commit a claim. The group answers within its call timeout; this bounds a fault of the group.
 const CLAIM_TIMEOUT: Duration = Duration::from_secs(4);
 
-/// Times that the end of a claim is reported before the group is left to find out by itself.
-const SETTLE_TRIES: u32 = 3;
+/// Times that the end of a claim is reported, a second apart. A claim whose end is never reported stays
+/// "running" until its instance dies, and then becomes unknown.
+const SETTLE_TRIES: u32 = 30;
+
+/// Time between two reports of the end of a claim.
+const SETTLE_PAUSE: Duration = Duration::from_secs(1);
 
 /// A claim that this request holds.
 pub(super) struct Claimed {
     claims: Arc<dyn Claims>,
     account: String,
     key: String,
+    /// Keeps the key from being claimed again until the end of this claim is known.
+    _hold: Arc<Hold>,
 }
 
 /// Claims a request that is not idempotent, or answers it from the earlier claim with its key.
@@ -33,11 +39,16 @@
     let Some(key) = call.claim() else {
         return Ok(None);
     };
+    let running = || Refused::unknown(StatusCode::CONFLICT, "running");
+    let hold = Arc::new(context.keys.hold(&call.account, key).ok_or_else(running)?);
+    // The call keeps the key for as long as its answer is under way.
+    let _ = call.hold.set(hold.clone());
     let claims = &context.deps.claims;
     let held = Claimed {
         claims: claims.clone(),
         account: call.account.clone(),
         key: key.to_owned(),
+        _hold: hold,
     };
     let begin = timeout(CLAIM_TIMEOUT, claims.begin(&call.account, key, call.digest))
         .await
@@ -48,7 +59,7 @@
             Ok(Some(held))
         }
         Begin::Answered(answer) => Err(kept(answer)),
-        Begin::Running => Err(Refused::unknown(StatusCode::CONFLICT, "running")),
+        Begin::Running => Err(running()),
         Begin::Unknown => Err(Refused::unknown(
             StatusCode::CONFLICT,
             "an earlier request with this key may have run; its answer was lost",
@@ -59,7 +70,7 @@
         )),
         Begin::Unavailable => {
             // The claim may have been committed without an answer; nothing is sent under it.
-            tokio::spawn(async move { held.release().await });
+            tokio::spawn(held.release());
             Err(Refused::not_run(
                 StatusCode::SERVICE_UNAVAILABLE,
                 "no claim could be committed; send again with the same key",
@@ -82,39 +93,30 @@
 impl Claimed {
     /// Ends the claim of a request that was refused.
     pub(super) async fn settle(self, refused: &Refused) {
-        match refused.ran {
-            Told::No => {
-                // The caller hears "not run" only after the release, or a quick resend would find the
-                // claim running.
-                let claims = self.clone_parts();
-                let release = tokio::spawn(async move { claims.release().await });
-                let _ = timeout(CLAIM_TIMEOUT, release).await;
-            }
-            _ => {
-                tokio::spawn(async move {
-                    for _ in 0..SETTLE_TRIES {
-                        if self.claims.lost(&self.account, &self.key).await {
-                            return;
-                        }
-                    }
-                });
-            }
+        if refused.ran == Told::No {
+            // The caller hears "not run" only after the release, or a quick resend would find the claim
+            // running.
+            let _ = timeout(CLAIM_TIMEOUT, tokio::spawn(self.release())).await;
+        } else {
+            tokio::spawn(self.lose());
         }
     }
 
-    fn clone_parts(&self) -> Claimed {
-        Claimed {
-            claims: self.claims.clone(),
-            account: self.account.clone(),
-            key: self.key.clone(),
+    async fn release(self) {
+        for _ in 0..SETTLE_TRIES {
+            if self.claims.release(&self.account, &self.key).await {
+                return;
+            }
+            sleep(SETTLE_PAUSE).await;
         }
     }
 
-    async fn release(&self) {
+    async fn lose(self) {
         for _ in 0..SETTLE_TRIES {
-            if self.claims.release(&self.account, &self.key).await {
+            if self.claims.lost(&self.account, &self.key).await {
                 return;
             }
+            sleep(SETTLE_PAUSE).await;
         }
     }
 }
--- a/crates/entry/src/filter/identify.rs
+++ b/crates/entry/src/filter/identify.rs
@@ -112,6 +112,7 @@
         digest,
         body,
         _memory: memory,
+        hold: std::sync::OnceLock::new(),
         traffic: Traffic::default(),
     })
 }
--- a/crates/entry/src/filter/mod.rs
+++ b/crates/entry/src/filter/mod.rs
@@ -5,6 +5,7 @@
 mod forward;
 mod headers;
 mod identify;
+mod keys;
 mod limit;
 mod place;
 mod queue;
@@ -13,4 +14,5 @@
 pub(crate) use {
     chain::{Context, answer},
     identify::Ambiguous,
+    keys::{Hold, Keys},
 };
--- a/crates/entry/src/server/server.rs
+++ b/crates/entry/src/server/server.rs
@@ -2,7 +2,7 @@
     super::{Error, framing::Verdicts, guarded::Guarded},
     crate::{
         deps::Deps,
-        filter::{Ambiguous, Context, answer},
+        filter::{Ambiguous, Context, Keys, answer},
         pool::Pool,
     },
     http::{
@@ -88,6 +88,7 @@
         let shared = Arc::new(Shared {
             context: Arc::new(Context {
                 pool: Pool::new(deps.settings.clone()),
+                keys: Keys::default(),
                 memory: Arc::new(Semaphore::new(deps.settings.replay_memory)),
                 deps,
             }),
--- a/crates/entry/tests/callers.rs
+++ b/crates/entry/tests/callers.rs
@@ -159,6 +159,55 @@
     assert_eq!(status(&answer), 503, "{answer}");
     assert!(answer.contains("x-ran: no"), "{answer}");
     assert_eq!(stage.total(), 0);
+    let flag = &stage.claims.unavailable;
+    flag.store(false, std::sync::atomic::Ordering::SeqCst);
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let answer = stage.request("POST", "idempotency-key: k\r\n", "x").await;
+    assert_eq!(
+        status(&answer),
+        200,
+        "a key without a claim stayed in use: {answer}"
+    );
+}
+
+/// Guards against a claim that was committed without this instance learning it, and against its late release
+/// freeing the key of a resend that runs.
+#[tokio::test]
+async fn lost_claims_are_released_once() {
+    let stage = Stage::new(1, 4).await;
+    let flag = &stage.claims.loses_answers;
+    flag.store(true, std::sync::atomic::Ordering::SeqCst);
+    let answer = stage.request("POST", "idempotency-key: k\r\n", "x").await;
+    assert_eq!(status(&answer), 503, "{answer}");
+    flag.store(false, std::sync::atomic::Ordering::SeqCst);
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let answer = stage.request("POST", "idempotency-key: k\r\n", "x").await;
+    assert_eq!(status(&answer), 200, "{answer}");
+    assert_eq!(stage.upstreams[0].executions("k"), 1);
+}
+
+/// Guards against one key that runs more than once when it is sent many times at once.
+#[tokio::test]
+async fn a_key_sent_at_once_runs_once() {
+    let stage = Stage::new(2, 4).await;
+    let mut callers = JoinSet::new();
+    for _ in 0..20 {
+        let address = stage.address;
+        callers.spawn(async move {
+            let text = format!(
+                "POST / HTTP/1.1\r\n{HEAD}idempotency-key: k\r\ncontent-length: 1\r\n\r\nx"
+            );
+            String::from_utf8(raw(address, &text).await).unwrap()
+        });
+    }
+    let mut answered = 0;
+    while let Some(answer) = callers.join_next().await {
+        let answer = answer.unwrap();
+        assert!(matches!(status(&answer), 200 | 409), "{answer}");
+        answered += u32::from(status(&answer) == 200);
+    }
+    assert!(answered >= 1);
+    assert_eq!(stage.total(), 1);
 }
 
 /// Guards against a claim that stays running after its request was refused as not run.
--- a/crates/entry/tests/common/mod.rs
+++ b/crates/entry/tests/common/mod.rs
@@ -62,6 +62,8 @@
 pub struct Memory {
     pub ledger: Mutex<Ledger>,
     pub unavailable: AtomicBool,
+    /// Commits claims, but says that it could not.
+    pub loses_answers: AtomicBool,
     pub boot: u64,
 }
 
@@ -71,12 +73,14 @@
         if self.unavailable.load(Ordering::SeqCst) {
             return Begin::Unavailable;
         }
+        let lost = self.loses_answers.load(Ordering::SeqCst);
         match self
             .ledger
             .lock()
             .unwrap()
             .begin(account, key, digest, (1, self.boot), 0)
         {
+            route::claim::Begin::Granted if lost => Begin::Unavailable,
             route::claim::Begin::Granted => Begin::Granted,
             route::claim::Begin::Answered(answer) => Begin::Answered(answer),
             route::claim::Begin::Running => Begin::Running,
--- a/crates/route/src/claim/ledger.rs
+++ b/crates/route/src/claim/ledger.rs
@@ -113,9 +113,13 @@
         self.change(account, key, holder, now_ms, State::Answered(answer))
     }
 
-    /// Records that nothing was or will be sent under the claim.
+    /// Records that nothing was or will be sent under the claim. Returns true if the holder has no claim
+    /// under this key afterwards, also if it never had one.
     pub fn release(&mut self, account: &str, key: &str, holder: (u64, u64), now_ms: u64) -> bool {
-        self.change(account, key, holder, now_ms, State::Released)
+        let held = self.get(account, key).is_some_and(|record| {
+            (record.instance, record.boot) == holder && record.state != State::Released
+        });
+        !held || self.change(account, key, holder, now_ms, State::Released)
     }
 
     /// Records that the answer was lost.
