Show a whole answer in the demo

Cause: the demo's request had an empty answer, which shows little. Change: the request carries a body and the echo must be equal to it. Measured: the demo exits 0.

--- a/crates/cli/src/demo/story.rs
+++ b/crates/cli/src/demo/story.rs
@@ -271,16 +271,28 @@
             ("x-service", "fit"),
             ("x-class", "short"),
             ("x-deadline-ms", "2000"),
+            ("x-idempotent", "true"),
         ];
+        let body = "does hinge 7 fit at 12 degrees?";
         let start = Instant::now();
         loop {
             let answer = self
                 .client
-                .call(self.requests[6], Method::GET, "/fit/hinge-7", &headers, "")
+                .call(
+                    self.requests[6],
+                    Method::POST,
+                    "/fit/hinge-7",
+                    &headers,
+                    body,
+                )
                 .await?;
             if answer.status == 200 {
+                step(answer.body == body, || {
+                    "the echo is not the request's own body".into()
+                })?;
                 println!(
-                    "request through a7 answered after {} ms with {} bytes",
+                    "request through a7 answered whole after {} ms with {} bytes; a new leader grants \
+                     no slots for 3 s",
                     start.elapsed().as_millis(),
                     answer.body.len()
                 );
