Report service levels of all instances and show quarantined workers

The ledger of burn rates had no source and GET /v1/report did not exist. Each instance now counts its finished requests and the job transitions that it committed itself, so a new leader repeats none, and any instance merges the counts of all and names those that did not answer. The worker view tells whether a worker is quarantined. The message of an instance without a current configuration reaches the caller. Tests: processes report (4 instances, the leader killed) and control findings pass.

--- a/crates/control/src/instance/exchange.rs
+++ b/crates/control/src/instance/exchange.rs
@@ -14,6 +14,9 @@
     /// Decides on the demand of an instance, as the leader of `group` in `term` since `leading_since`.
     fn grant(&self, group: &str, demand: &[u8], term: u64, leading_since: Instant) -> Vec<u8>;
 
+    /// This instance's counts of service levels.
+    fn counts(&self) -> Vec<u8>;
+
     /// Takes the leader's answer to a demand.
     fn granted(&self, grants: &[u8]);
 }
--- a/crates/control/src/instance/handler.rs
+++ b/crates/control/src/instance/handler.rs
@@ -68,13 +68,14 @@
 
     /// Answers a query if this instance leads the group.
     pub(super) async fn answer(&self, group: &str, query: &[u8]) -> Verdict {
-        let Some(group) = self.groups.get(group) else {
-            return Verdict::NotLeader(None);
-        };
         let query: Query = match serde_json::from_slice(query) {
+            Ok(Query::Counts) => return Verdict::Answer(self.setup.exchange.counts()),
             Ok(query) => query,
             Err(error) => return Verdict::NotRun(format!("malformed query: {error}")),
         };
+        let Some(group) = self.groups.get(group) else {
+            return Verdict::NotLeader(None);
+        };
         if let Err(refusal) = group.read().await {
             return refusal;
         }
@@ -105,6 +106,7 @@
             }
             Query::Outcome { key } => encode(&state.book().outcome(&key)),
             Query::Force { number } => encode(&self.force(group, number)),
+            Query::Counts => Ok(self.setup.exchange.counts()),
             Query::Followers => encode(&self.followers()),
             Query::Alive {
                 instance,
@@ -154,7 +156,9 @@
                 let seen = controller.map(|c| c.workers()).unwrap_or_default();
                 let views = seen.into_iter().map(|seen| {
                     let draining = drained.contains(&seen.announcement.worker.name);
-                    view(seen, draining, now)
+                    let name = &seen.announcement.worker.name;
+                    let quarantined = controller.is_some_and(|c| c.findings().is_quarantined(name));
+                    view(seen, draining, quarantined, now)
                 });
                 encode(&views.collect::<Vec<_>>())
             }
@@ -262,12 +266,13 @@
     serde_json::to_vec(value)
 }
 
-fn view(seen: Seen, draining: bool, now: Instant) -> WorkerView {
+fn view(seen: Seen, draining: bool, quarantined: bool, now: Instant) -> WorkerView {
     let tasks = seen.announcement.tasks.iter();
     let held = tasks.filter(|t| matches!(t.state, TaskState::Reserved | TaskState::Running));
     WorkerView {
         silent_ms: now.saturating_duration_since(seen.heard).as_millis() as u64,
         draining,
+        quarantined,
         tasks: held.count(),
         worker: seen.announcement.worker,
     }
--- a/crates/control/src/instance/instance.rs
+++ b/crates/control/src/instance/instance.rs
@@ -3,7 +3,7 @@
     crate::{
         follow::{Follower, Ledger},
         group::{self, Group},
-        jobs::{self, Controller},
+        jobs::{self, Controller, Findings},
         peers::Peers,
         worker::Registry,
     },
@@ -87,6 +87,7 @@
                     regions,
                     ..setup.jobs.clone()
                 },
+                findings: Findings::new(setup.observer.clone()),
             };
             controllers.insert(name.clone(), Controller::spawn(context));
         }
--- a/crates/control/src/instance/mod.rs
+++ b/crates/control/src/instance/mod.rs
@@ -1,5 +1,6 @@
 //! One running instance: its replicas, controllers and knowledge of the others.
 
+mod counts;
 mod error;
 mod exchange;
 mod handler;
--- a/crates/control/src/instance/query.rs
+++ b/crates/control/src/instance/query.rs
@@ -68,6 +68,8 @@
     },
     /// Workers; a list of [`WorkerView`].
     Workers,
+    /// Counts of service levels, from the instance that is asked; encoded by [`super::Exchange::counts`].
+    Counts,
     /// Asks to become a member of the group; nothing.
     Join {
         /// Id of the instance.
@@ -97,6 +99,8 @@
     pub silent_ms: u64,
     /// Whether an operator drains it.
     pub draining: bool,
+    /// Whether it gets no new gang because it failed jobs that run elsewhere.
+    pub quarantined: bool,
     /// Number of tasks that it holds.
     pub tasks: usize,
 }
--- a/crates/control/src/instance/setup.rs
+++ b/crates/control/src/instance/setup.rs
@@ -41,6 +41,8 @@
     pub config_lease: Duration,
     /// Wait for the answer of another instance.
     pub call_timeout: Duration,
+    /// Takes the transitions of jobs that count for service levels.
+    pub observer: Arc<dyn jobs::Observer>,
     /// Sends orders to workers.
     pub link: Arc<dyn Link>,
     /// The request path's part in messages.
--- a/crates/control/src/jobs/context.rs
+++ b/crates/control/src/jobs/context.rs
@@ -1,5 +1,5 @@
 use {
-    super::Settings,
+    super::{Findings, Settings},
     crate::{
         follow::Follower,
         group::Group,
@@ -26,6 +26,8 @@
     pub clock: Arc<dyn Clock>,
     /// Timing.
     pub settings: Settings,
+    /// What the leader found out.
+    pub findings: Findings,
 }
 
 impl Context {
@@ -46,7 +48,10 @@
             at_ms: self.clock.wall_ms(),
         };
         match self.commit(&command).await {
-            Some(Answer::Moved(job)) => Some(*job),
+            Some(Answer::Moved(job)) => {
+                self.findings.moved(&job);
+                Some(*job)
+            }
             _ => None,
         }
     }
--- a/crates/control/src/jobs/controller.rs
+++ b/crates/control/src/jobs/controller.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Context, lead::Lead},
+    super::{Context, Findings, lead::Lead},
     crate::worker::Seen,
     gang::{Scheduler, Settings, Shortfall},
     model::{config::Config, job::Spec},
@@ -76,6 +76,11 @@
         self.context.registry.list()
     }
 
+    /// What the leader found out.
+    pub fn findings(&self) -> &Findings {
+        &self.context.findings
+    }
+
     /// Ends the controller and the gangs' tasks; what runs on workers goes on under its leases.
     pub fn stop(&self) {
         self.task.abort();
--- a/crates/control/src/jobs/lead.rs
+++ b/crates/control/src/jobs/lead.rs
@@ -81,6 +81,7 @@
             context,
         };
         *lead.scheduler() = Scheduler::new(settings);
+        lead.context.findings.reset();
         lead.configure(now);
         lead.context.registry.take_fresh();
         for seen in lead.context.registry.list() {
@@ -108,6 +109,14 @@
     }
 
     fn observe(&self, event: Event, now: Instant) {
+        if let Event::WorkerReturned { worker }
+        | Event::Probed {
+            worker,
+            passed: true,
+        } = &event
+        {
+            self.context.findings.quarantine(worker, false);
+        }
         self.scheduler().observe(event, now);
     }
 
@@ -294,9 +303,11 @@
                 )),
                 Decision::Quarantine { worker } => {
                     log::warn!("event=worker_quarantined worker={worker}");
+                    self.context.findings.quarantine(&worker, true);
                 }
                 Decision::Probe { worker } => self.probe(worker, now),
                 Decision::Owed { shortfalls } => {
+                    self.context.findings.owe(shortfalls.len());
                     for shortfall in &shortfalls {
                         log::warn!("event=guarantee_owed shortfall=\"{shortfall}\"");
                     }
--- a/crates/control/src/jobs/mod.rs
+++ b/crates/control/src/jobs/mod.rs
@@ -2,9 +2,14 @@
 
 mod context;
 mod controller;
+mod findings;
 mod gang;
 mod lead;
+mod observer;
 mod orders;
 mod settings;
 
-pub use {context::Context, controller::Controller, settings::Settings};
+pub use {
+    context::Context, controller::Controller, findings::Findings, observer::Observer,
+    settings::Settings,
+};
--- a/crates/daemon/src/api/error.rs
+++ b/crates/daemon/src/api/error.rs
@@ -23,7 +23,18 @@
         ),
         other => (NOT_RUN, format!("{other}; nothing was changed, try again")),
     };
-    // The message of a server error is meant for the caller, too.
+    answer(code, message)
+}
+
+/// An instance that does not know whether its configuration is current does nothing.
+pub(super) fn not_current() -> HttpError {
+    let message = "this instance does not know whether its configuration is current; nothing was \
+                   changed, ask another instance";
+    answer(NOT_RUN, message.into())
+}
+
+/// The message of a server error is meant for the caller, too.
+fn answer(code: &str, message: String) -> HttpError {
     HttpError {
         status_code: ErrorStatusCode::SERVICE_UNAVAILABLE,
         error_code: Some(code.to_owned()),
--- a/crates/daemon/src/api/jobs.rs
+++ b/crates/daemon/src/api/jobs.rs
@@ -2,7 +2,7 @@
     super::{
         Context,
         answer::json,
-        error::{client, unavailable, unexpected},
+        error::{client, not_current, unavailable, unexpected},
     },
     control::{
         instance::{Instance, Query},
@@ -118,12 +118,7 @@
 /// Checks a submission against the configuration and returns the group that will keep the job.
 fn destination(instance: &Instance, spec: &Spec) -> Result<String, HttpError> {
     let Some(config) = instance.current() else {
-        return Err(HttpError::for_unavail(
-            Some("NotRun".into()),
-            "this instance does not know whether its configuration is current; nothing was changed, \
-             ask another"
-                .into(),
-        ));
+        return Err(not_current());
     };
     let account = config
         .accounts
--- a/crates/daemon/src/api/mod.rs
+++ b/crates/daemon/src/api/mod.rs
@@ -6,6 +6,7 @@
 mod instances;
 mod jobs;
 mod notes;
+mod report;
 mod server;
 mod status;
 mod upstreams;
--- a/crates/daemon/src/api/notes.rs
+++ b/crates/daemon/src/api/notes.rs
@@ -2,7 +2,7 @@
     super::{
         Context,
         answer::json,
-        error::{client, unavailable, unexpected},
+        error::{client, not_current, unavailable, unexpected},
     },
     control::{
         instance::{Force, Instance, Query},
@@ -246,10 +246,7 @@
 ) -> Result<HttpResponseOk<Config>, HttpError> {
     match context.context().instance.current() {
         Some(config) => Ok(HttpResponseOk((*config).clone())),
-        None => Err(HttpError::for_unavail(
-            Some("NotRun".into()),
-            "this instance does not know whether its configuration is current; ask another".into(),
-        )),
+        None => Err(not_current()),
     }
 }
 
--- a/crates/daemon/src/daemon/daemon.rs
+++ b/crates/daemon/src/daemon/daemon.rs
@@ -3,7 +3,7 @@
     crate::{
         api,
         link::Http,
-        requests::{Claims, Exchange, Members, Observer, Slot},
+        requests::{Claims, Exchange, Levels, Members, Observer, Slot},
     },
     control::{
         instance::{Instance, Place, Setup},
@@ -55,6 +55,7 @@
             region: member.site.region.clone(),
         });
         desk.observe(Event::Peers(peers.collect()));
+        let levels = Arc::new(Levels::new(&own.name, slot.clone(), clock));
         let exchange = Exchange::new(
             desk.clone(),
             settings.homes.clone(),
@@ -64,14 +65,21 @@
                 .map(|member| member.id)
                 .collect(),
             settings.requests.max_deadline,
+            levels.clone(),
+        );
+        let setup = setup(
+            settings,
+            &options,
+            incarnation,
+            Arc::new(exchange),
+            levels.clone(),
         );
-        let setup = setup(settings, &options, incarnation, Arc::new(exchange));
         let instance = Instance::spawn(setup)?;
         slot.set(instance.clone());
         let deps = Deps {
             desk: desk.clone(),
             claims: Arc::new(Claims::new(slot)),
-            observer: Arc::new(Observer::new(&metrics)?),
+            observer: Arc::new(Observer::new(&metrics, levels)?),
             settings: entry::Settings {
                 max_deadline: settings.requests.max_deadline,
                 max_body: settings.requests.max_body,
@@ -148,6 +156,7 @@
     options: &Options,
     incarnation: u64,
     exchange: Arc<Exchange>,
+    levels: Arc<Levels>,
 ) -> Setup {
     let timing = &settings.timing;
     let instances: IndexMap<u64, Place> = settings
@@ -182,6 +191,7 @@
         },
         config_lease: timing.configuration_lease,
         call_timeout: CALL_TIMEOUT,
+        observer: levels,
         link: Arc::new(Http::new()),
         exchange,
         clock: options.clock.clone(),
--- a/crates/daemon/src/requests/exchange.rs
+++ b/crates/daemon/src/requests/exchange.rs
@@ -1,4 +1,5 @@
 use {
+    super::Levels,
     entry::Desk,
     indexmap::IndexMap,
     model::clock::Clock,
@@ -21,6 +22,7 @@
     homes: IndexMap<String, String>,
     instances: Vec<u64>,
     max_deadline: Duration,
+    levels: Arc<Levels>,
     /// By region, while this instance leads the region's group.
     granters: Mutex<IndexMap<String, Granter>>,
 }
@@ -32,6 +34,7 @@
         homes: IndexMap<String, String>,
         instances: Vec<u64>,
         max_deadline: Duration,
+        levels: Arc<Levels>,
     ) -> Exchange {
         Exchange {
             clock: desk.clock().clone(),
@@ -39,6 +42,7 @@
             homes,
             instances,
             max_deadline,
+            levels,
             granters: Mutex::default(),
         }
     }
@@ -81,6 +85,10 @@
         }
     }
 
+    fn counts(&self) -> Vec<u8> {
+        serde_json::to_vec(&self.levels.snapshot()).unwrap_or_default()
+    }
+
     fn demand(&self, group: &str) -> Vec<u8> {
         let reports: Vec<Report> = self.desk.with(|router, now| {
             let regions = router.regions(now).into_iter();
--- a/crates/daemon/src/requests/mod.rs
+++ b/crates/daemon/src/requests/mod.rs
@@ -2,8 +2,12 @@
 
 mod claims;
 mod exchange;
+mod levels;
 mod members;
 mod observer;
 mod slot;
 
-pub use {claims::Claims, exchange::Exchange, members::Members, observer::Observer, slot::Slot};
+pub use {
+    claims::Claims, exchange::Exchange, levels::Levels, members::Members, observer::Observer,
+    slot::Slot,
+};
--- a/crates/daemon/src/requests/observer.rs
+++ b/crates/daemon/src/requests/observer.rs
@@ -1,7 +1,9 @@
 use {
+    super::Levels,
     entry::{Ended, Finished},
     model::request::Class,
     prometheus::{HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry},
+    std::sync::Arc,
 };
 
 /// Bounds of the histograms in seconds.
@@ -17,11 +19,12 @@
     service: HistogramVec,
     bytes: IntCounterVec,
     cross_region: IntCounterVec,
+    levels: Arc<Levels>,
 }
 
 impl Observer {
     /// Registers the metrics.
-    pub fn new(registry: &Registry) -> Result<Observer, prometheus::Error> {
+    pub fn new(registry: &Registry, levels: Arc<Levels>) -> Result<Observer, prometheus::Error> {
         let seconds = |name: &str, help: &str| {
             let opts = HistogramOpts::new(name, help).buckets(BUCKETS.to_vec());
             HistogramVec::new(opts, &["account", "class"])
@@ -53,6 +56,7 @@
                 "Body bytes of requests and answers that crossed the link between regions.",
                 &["account"],
             )?,
+            levels,
         };
         registry.register(Box::new(observer.requests.clone()))?;
         registry.register(Box::new(observer.wait.clone()))?;
@@ -65,6 +69,7 @@
 
 impl entry::Observer for Observer {
     fn finished(&self, record: Finished) {
+        self.levels.finished(&record);
         let account = if record.account.is_empty() {
             "unknown"
         } else {
--- a/crates/daemon/tests/processes/main.rs
+++ b/crates/daemon/tests/processes/main.rs
@@ -5,4 +5,5 @@
 mod kill;
 mod operators;
 mod replace;
+mod report;
 mod settings;
