--- a/crates/cli/src/command/mod.rs
+++ b/crates/cli/src/command/mod.rs
@@ -5,6 +5,7 @@
 mod job;
 mod note;
 mod report;
+mod stand_in;
 mod trial;
 mod upstream;
 mod worker;
@@ -51,6 +52,7 @@
     Upstream(upstream::Upstream),
     Report(report::Report),
     Trial(trial::Trial),
+    StandIn(stand_in::StandIn),
     Demo(demo::Demo),
 }
 
@@ -64,6 +66,7 @@
             Command::Instance(command) => command.run(context).await,
             Command::Upstream(command) => command.run(context).await,
             Command::Report(command) => command.run(context).await,
+            Command::StandIn(command) => command.run(context).await,
             Command::Trial(command) => command.run(context),
             Command::Demo(command) => command.run(),
         }
--- a/crates/cli/src/context.rs
+++ b/crates/cli/src/context.rs
@@ -8,7 +8,7 @@
     http::Method,
     serde::de::DeserializeOwned,
     serde_json::Value,
-    std::time::Instant,
+    std::{net::SocketAddr, time::Instant},
 };
 
 /// Longest accepted name in a command, in bytes.
@@ -33,6 +33,21 @@
         }
     }
 
+    /// Resolves the addresses of the instances.
+    pub async fn addresses(&self) -> Result<Vec<SocketAddr>, Error> {
+        let mut addresses = Vec::new();
+        for instance in &self.settings.clone()?.instances {
+            let found = tokio::net::lookup_host(instance.as_str()).await;
+            let found = found.map_err(|error| {
+                Error::Refused(format!(
+                    "{instance} is not found: {error}; check the address"
+                ))
+            })?;
+            addresses.extend(found.take(1));
+        }
+        Ok(addresses)
+    }
+
     /// Sends a call.
     pub async fn send(&mut self, call: &Call) -> Result<Answer, Error> {
         let client = match &self.client {
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -274,7 +274,7 @@
         ("upstream", &["list"]),
         ("trial", &["jobs", "requests"]),
     ];
-    let mut commands = vec![vec![], vec!["report"], vec!["demo"]];
+    let mut commands = vec![vec![], vec!["report"], vec!["demo"], vec!["stand-in"]];
     for (group, verbs) in groups {
         commands.push(vec![group]);
         commands.extend(verbs.iter().map(|verb| vec![group, *verb]));
@@ -290,6 +290,10 @@
         &[],
         &["job", "list", "--state", "x"],
         &["note", "apply", "x"],
+        &["trial", "jobs", "--seeds", "0"],
+        &["trial", "requests", "--seeds", "1001"],
+        &["stand-in", "--site", "north"],
+        &["stand-in", "--site", "north/a", "--racks", "1000000"],
     ] {
         assert_eq!(run_raw(Some(down()), bad).exit, Exit::Usage, "{bad:?}");
     }
