Add metrics of the instance and pages on metrics and log events

Only finished requests were measured, and the account label took any name that a caller sent. Accounts that the configuration does not have count under `unknown`.

--- a/crates/control/src/instance/counts.rs
+++ b/crates/control/src/instance/counts.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Instance, Query},
+    super::{Instance, Method, Query},
     futures::future,
     model::config::Config,
     std::sync::Arc,
@@ -23,7 +23,8 @@
                 if *id == self.setup.id {
                     return (*id, Some(self.setup.exchange.counts()));
                 }
-                let answer = self.peers.query(*id, "", query).await;
+                let result = self.peers.query(*id, "", query).await;
+                let answer = self.calls.made(Method::Query, result);
                 let counts = match answer {
                     Ok(Verdict::Answer(bytes)) => Some(bytes),
                     _ => None,
--- a/crates/control/src/instance/handler.rs
+++ b/crates/control/src/instance/handler.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Force, Instance, Query, Report, WorkerView},
+    super::{Force, Instance, Method, Query, Report, WorkerView},
     crate::{
         group::Group,
         peers::{Handler, Reply},
@@ -24,32 +24,38 @@
 
 impl Handler for Server {
     fn deliver(&self, group: &str, sender: u64, messages: Vec<Vec<u8>>) {
+        self.0.calls.received(Method::Deliver);
         if let Some(group) = self.0.groups.get(group) {
             group.deliver(sender, messages);
         }
     }
 
     fn propose(&self, group: &str, command: &[u8]) -> Reply<Verdict> {
+        self.0.calls.received(Method::Propose);
         let (instance, group, command) = (self.0.clone(), group.to_owned(), command.to_vec());
         async move { instance.execute(&group, &command).await }.boxed()
     }
 
     fn query(&self, group: &str, query: &[u8]) -> Reply<Verdict> {
+        self.0.calls.received(Method::Query);
         let (instance, group, query) = (self.0.clone(), group.to_owned(), query.to_vec());
         async move { instance.answer(&group, &query).await }.boxed()
     }
 
     fn follow(&self, instance: u64, incarnation: u64, applied: u64) -> Reply<Update> {
+        self.0.calls.received(Method::Follow);
         let own = self.0.clone();
         async move { own.lead_follower((instance, incarnation), applied).await }.boxed()
     }
 
     fn report(&self, group: &str, instance: u64, report: &[u8]) -> Reply<Verdict> {
+        self.0.calls.received(Method::Report);
         let (own, group, report) = (self.0.clone(), group.to_owned(), report.to_vec());
         async move { own.take_report(&group, instance, &report).await }.boxed()
     }
 
     fn gossip(&self, instance: u64, entries: &[u8]) -> Vec<u8> {
+        self.0.calls.received(Method::Gossip);
         if self.0.setup.instances.contains_key(&instance) {
             self.0.setup.exchange.merge(entries);
         }
--- a/crates/control/src/instance/instance.rs
+++ b/crates/control/src/instance/instance.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Error, Setup, handler::Server},
+    super::{Calls, Error, Setup, handler::Server},
     crate::{
         follow::{Follower, Ledger},
         group::{self, Group},
@@ -26,6 +26,7 @@
     pub(super) controllers: IndexMap<String, Controller>,
     pub(super) registries: IndexMap<String, Arc<Registry>>,
     pub(super) follower: Arc<Follower>,
+    pub(super) calls: Calls,
     ledger: Mutex<Ledger>,
     hints: Mutex<IndexMap<String, u64>>,
     /// Announcements to be reported, by group and worker.
@@ -98,6 +99,7 @@
             controllers,
             registries,
             follower,
+            calls: Calls::default(),
             ledger: Mutex::default(),
             hints: Mutex::default(),
             relay: Mutex::default(),
--- a/crates/control/src/instance/leader.rs
+++ b/crates/control/src/instance/leader.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Error, Instance, Query},
+    super::{Error, Instance, Method, Query},
     crate::{
         peers,
         state::{Answer, Command},
@@ -100,9 +100,18 @@
             });
         }
         match ask {
-            Ask::Propose(bytes) => self.peers.propose(target, group, bytes).await,
-            Ask::Query(bytes) => self.peers.query(target, group, bytes).await,
-            Ask::Report(bytes) => self.peers.report(target, group, bytes).await,
+            Ask::Propose(bytes) => {
+                let result = self.peers.propose(target, group, bytes).await;
+                self.calls.made(Method::Propose, result)
+            }
+            Ask::Query(bytes) => {
+                let result = self.peers.query(target, group, bytes).await;
+                self.calls.made(Method::Query, result)
+            }
+            Ask::Report(bytes) => {
+                let result = self.peers.report(target, group, bytes).await;
+                self.calls.made(Method::Report, result)
+            }
         }
     }
 
--- a/crates/control/src/instance/loops.rs
+++ b/crates/control/src/instance/loops.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Instance, Query, Report, handler::CONFIG},
+    super::{Instance, Method, Query, Report, handler::CONFIG},
     indexmap::IndexSet,
     quorum::Change,
     std::{sync::Arc, time::Duration},
@@ -51,7 +51,8 @@
         let update = if target == instance.setup.id {
             Ok(instance.lead_follower(own, applied).await)
         } else {
-            instance.peers.follow(target, own.1, applied).await
+            let result = instance.peers.follow(target, own.1, applied).await;
+            instance.calls.made(Method::Follow, result)
         };
         match update {
             Ok(Update::Current { lease, config }) => {
@@ -139,8 +140,11 @@
     while !instance.is_stopped() {
         time::sleep(GOSSIP_EVERY).await;
         for (to, message) in instance.setup.exchange.gossip() {
-            let peers = instance.peers.clone();
-            tokio::spawn(async move { drop(peers.gossip(to, message).await) });
+            let own = instance.clone();
+            tokio::spawn(async move {
+                let result = own.peers.gossip(to, message).await;
+                drop(own.calls.made(Method::Gossip, result));
+            });
         }
     }
 }
--- a/crates/daemon/src/api/context.rs
+++ b/crates/daemon/src/api/context.rs
@@ -1,7 +1,7 @@
 use {
     super::Members,
+    crate::metrics::Metrics,
     control::instance::Instance,
-    prometheus::Registry,
     std::sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -15,7 +15,7 @@
     /// The upstreams heard of.
     pub members: Arc<dyn Members>,
     /// The metrics.
-    pub metrics: Registry,
+    pub metrics: Metrics,
     /// Whether the instance is being shut down.
     pub draining: AtomicBool,
 }
--- a/crates/daemon/src/api/status.rs
+++ b/crates/daemon/src/api/status.rs
@@ -3,7 +3,6 @@
     dropshot::{Body, HttpError, HttpResponseOk, RequestContext, endpoint},
     http::{Response, StatusCode},
     model::place::Site,
-    prometheus::{Encoder, TextEncoder},
     schemars::JsonSchema,
     serde::Serialize,
 };
@@ -106,9 +105,10 @@
 pub(super) async fn show_metrics(
     context: RequestContext<Context>,
 ) -> Result<Response<Body>, HttpError> {
-    let mut text = Vec::new();
-    TextEncoder::new()
-        .encode(&context.context().metrics.gather(), &mut text)
+    let context = context.context();
+    let text = context
+        .metrics
+        .text(&context.instance, context.is_ready())
         .map_err(|error| HttpError::for_internal_error(error.to_string()))?;
     text_answer(StatusCode::OK, text)
 }
--- a/crates/daemon/src/api/upstreams.rs
+++ b/crates/daemon/src/api/upstreams.rs
@@ -44,8 +44,10 @@
     context: RequestContext<Context>,
     body: TypedBody<Announcement>,
 ) -> Result<HttpResponseOk<IndexMap<String, String>>, HttpError> {
-    let members = &context.context().members;
-    members.hear(body.into_inner()).map_err(|reason| {
+    let context = context.context();
+    let heard = context.members.hear(body.into_inner());
+    context.metrics.announced("upstream", heard.is_ok());
+    heard.map_err(|reason| {
         client(
             ClientErrorStatusCode::UNPROCESSABLE_ENTITY,
             "Refused",
--- a/crates/daemon/src/api/workers.rs
+++ b/crates/daemon/src/api/workers.rs
@@ -31,8 +31,10 @@
     context: RequestContext<Context>,
     body: TypedBody<Announcement>,
 ) -> Result<Done, HttpError> {
-    let instance = &context.context().instance;
-    instance.hear_worker(body.into_inner()).map_err(|error| {
+    let context = context.context();
+    let heard = context.instance.hear_worker(body.into_inner());
+    context.metrics.announced("worker", heard.is_ok());
+    heard.map_err(|error| {
         let message = error.to_string();
         client(
             ClientErrorStatusCode::UNPROCESSABLE_ENTITY,
--- a/crates/daemon/src/daemon/daemon.rs
+++ b/crates/daemon/src/daemon/daemon.rs
@@ -3,6 +3,7 @@
     crate::{
         api,
         link::Http,
+        metrics::{Metrics, Register},
         requests::{Claims, Exchange, Levels, Members, Observer, Slot},
     },
     control::{
@@ -11,7 +12,6 @@
     },
     entry::{Deps, Desk, Leftover},
     indexmap::IndexMap,
-    prometheus::Registry,
     route::{Event, Router, member::Peer},
     settings::Settings,
     std::{
@@ -38,7 +38,7 @@
 impl Daemon {
     /// Opens the disk and all listeners. Must be called on a tokio runtime.
     pub async fn spawn(settings: &Settings, options: Options) -> Result<Daemon, Error> {
-        let metrics = Registry::new();
+        let mut register = Register::default();
         let slot = Slot::default();
         let clock = options.clock.clone();
         let incarnation = clock.wall_ms();
@@ -79,7 +79,7 @@
         let deps = Deps {
             desk: desk.clone(),
             claims: Arc::new(Claims::new(slot)),
-            observer: Arc::new(Observer::new(&metrics, levels)?),
+            observer: Arc::new(Observer::new(&mut register, levels)?),
             settings: entry::Settings {
                 max_deadline: settings.requests.max_deadline,
                 max_body: settings.requests.max_body,
@@ -89,6 +89,7 @@
             },
         };
         let requests = entry::Server::bind(settings.listen.requests, deps).await?;
+        let metrics = Metrics::new(register, desk.clone())?;
         let context = api::Context {
             instance: instance.clone(),
             members: Arc::new(Members::new(desk)),
@@ -120,6 +121,11 @@
         self.requests.address()
     }
 
+    /// The metrics.
+    pub fn metrics(&self) -> &Metrics {
+        &self.api.context().metrics
+    }
+
     /// The instance.
     pub fn instance(&self) -> &Arc<Instance> {
         &self.instance
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod daemon;
 pub mod link;
 pub mod logs;
+pub mod metrics;
 pub mod requests;
 
 pub use daemon::{Daemon, Error, Options};
--- a/crates/daemon/src/requests/levels.rs
+++ b/crates/daemon/src/requests/levels.rs
@@ -31,6 +31,12 @@
         }
     }
 
+    /// Tells whether the configuration has a client account.
+    pub fn knows(&self, account: &str) -> bool {
+        let config = self.slot.get().and_then(|instance| instance.applied());
+        config.is_some_and(|config| config.accounts.contains_key(account))
+    }
+
     fn ledger(&self) -> MutexGuard<'_, Ledger> {
         self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/daemon/src/requests/observer.rs
+++ b/crates/daemon/src/requests/observer.rs
@@ -1,8 +1,9 @@
 use {
     super::Levels,
+    crate::metrics::Register,
     entry::{Ended, Finished},
     model::request::Class,
-    prometheus::{HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry},
+    prometheus::{HistogramOpts, HistogramVec, IntCounterVec, Opts},
     std::sync::Arc,
 };
 
@@ -11,8 +12,8 @@
     0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 5.0, 30.0,
 ];
 
-/// Counts finished requests. Accounts come from the configuration, so their number is bounded; requests that
-/// were refused before their account was known count under `unknown`.
+/// Counts finished requests. Only accounts of the configuration become labels, so their number is bounded; all
+/// other requests count under `unknown`.
 pub struct Observer {
     requests: IntCounterVec,
     wait: HistogramVec,
@@ -24,7 +25,10 @@
 
 impl Observer {
     /// Registers the metrics.
-    pub fn new(registry: &Registry, levels: Arc<Levels>) -> Result<Observer, prometheus::Error> {
+    pub fn new(
+        register: &mut Register,
+        levels: Arc<Levels>,
+    ) -> Result<Observer, prometheus::Error> {
         let seconds = |name: &str, help: &str| {
             let opts = HistogramOpts::new(name, help).buckets(BUCKETS.to_vec());
             HistogramVec::new(opts, &["account", "class"])
@@ -32,49 +36,41 @@
         let counter = |name: &str, help: &str, labels: &[&str]| {
             IntCounterVec::new(Opts::new(name, help), labels)
         };
-        let observer = Observer {
-            requests: counter(
+        Ok(Observer {
+            requests: register.add(counter(
                 "trefoilvalve_requests_total",
                 "Finished requests by account, class and outcome.",
                 &["account", "class", "outcome"],
-            )?,
-            wait: seconds(
+            ))?,
+            wait: register.add(seconds(
                 "trefoilvalve_request_wait_seconds",
                 "Time from the arrival of a request to its last send or its refusal.",
-            )?,
-            service: seconds(
+            ))?,
+            service: register.add(seconds(
                 "trefoilvalve_request_service_seconds",
                 "Time from the last send of a request to the end of its answer.",
-            )?,
-            bytes: counter(
+            ))?,
+            bytes: register.add(counter(
                 "trefoilvalve_request_bytes_total",
                 "Body bytes of requests and answers.",
                 &["account"],
-            )?,
-            cross_region: counter(
+            ))?,
+            cross_region: register.add(counter(
                 "trefoilvalve_request_cross_region_bytes_total",
                 "Body bytes of requests and answers that crossed the link between regions.",
                 &["account"],
-            )?,
+            ))?,
             levels,
-        };
-        registry.register(Box::new(observer.requests.clone()))?;
-        registry.register(Box::new(observer.wait.clone()))?;
-        registry.register(Box::new(observer.service.clone()))?;
-        registry.register(Box::new(observer.bytes.clone()))?;
-        registry.register(Box::new(observer.cross_region.clone()))?;
-        Ok(observer)
+        })
     }
 }
 
 impl entry::Observer for Observer {
     fn finished(&self, record: Finished) {
         self.levels.finished(&record);
-        let account = if record.account.is_empty() {
-            "unknown"
-        } else {
-            &record.account
-        };
+        // A caller may name any account, so only those of the configuration become labels.
+        let known = self.levels.knows(&record.account);
+        let account = if known { &record.account } else { "unknown" };
         let class = match record.class {
             Class::Short => "short",
             Class::Batch => "batch",
