--- a/crates/control/src/instance/handler.rs
+++ b/crates/control/src/instance/handler.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Force, Instance, Query, Report, WorkerView},
+    super::{Force, Instance, Method, Query, Report, WorkerView},
     crate::{
         group::Group,
         peers::{Handler, Reply},
@@ -24,32 +24,38 @@
 
 impl Handler for Server {
     fn deliver(&self, group: &str, sender: u64, messages: Vec<Vec<u8>>) {
+        self.0.calls.received(Method::Deliver);
         if let Some(group) = self.0.groups.get(group) {
             group.deliver(sender, messages);
         }
     }
 
     fn propose(&self, group: &str, command: &[u8]) -> Reply<Verdict> {
+        self.0.calls.received(Method::Propose);
         let (instance, group, command) = (self.0.clone(), group.to_owned(), command.to_vec());
         async move { instance.execute(&group, &command).await }.boxed()
     }
 
     fn query(&self, group: &str, query: &[u8]) -> Reply<Verdict> {
+        self.0.calls.received(Method::Query);
         let (instance, group, query) = (self.0.clone(), group.to_owned(), query.to_vec());
         async move { instance.answer(&group, &query).await }.boxed()
     }
 
     fn follow(&self, instance: u64, incarnation: u64, applied: u64) -> Reply<Update> {
+        self.0.calls.received(Method::Follow);
         let own = self.0.clone();
         async move { own.lead_follower((instance, incarnation), applied).await }.boxed()
     }
 
     fn report(&self, group: &str, instance: u64, report: &[u8]) -> Reply<Verdict> {
+        self.0.calls.received(Method::Report);
         let (own, group, report) = (self.0.clone(), group.to_owned(), report.to_vec());
         async move { own.take_report(&group, instance, &report).await }.boxed()
     }
 
     fn gossip(&self, instance: u64, entries: &[u8]) -> Vec<u8> {
+        self.0.calls.received(Method::Gossip);
         if self.0.setup.instances.contains_key(&instance) {
             self.0.setup.exchange.merge(entries);
         }
@@ -69,6 +75,7 @@
     /// Answers a query if this instance leads the group.
     pub(super) async fn answer(&self, group: &str, query: &[u8]) -> Verdict {
         let query: Query = match serde_json::from_slice(query) {
+            Ok(Query::Counts) => return Verdict::Answer(self.setup.exchange.counts()),
             Ok(query) => query,
             Err(error) => return Verdict::NotRun(format!("malformed query: {error}")),
         };
@@ -112,6 +119,7 @@
             }
             Query::Outcome { key } => encode(&state.book().outcome(&key)),
             Query::Force { number } => encode(&self.force(group, number)),
+            Query::Counts => Ok(self.setup.exchange.counts()),
             Query::Followers => encode(&self.followers()),
             Query::Alive {
                 instance,
@@ -157,7 +165,9 @@
                 let seen = controller.map(|c| c.workers()).unwrap_or_default();
                 let views = seen.into_iter().map(|seen| {
                     let draining = drained.contains(&seen.announcement.worker.name);
-                    view(seen, draining, now)
+                    let name = &seen.announcement.worker.name;
+                    let quarantined = controller.is_some_and(|c| c.findings().is_quarantined(name));
+                    view(seen, draining, quarantined, now)
                 });
                 encode(&views.collect::<Vec<_>>())
             }
@@ -275,12 +285,13 @@
     serde_json::to_vec(value)
 }
 
-fn view(seen: Seen, draining: bool, now: Instant) -> WorkerView {
+fn view(seen: Seen, draining: bool, quarantined: bool, now: Instant) -> WorkerView {
     let tasks = seen.announcement.tasks.iter();
     let held = tasks.filter(|t| matches!(t.state, TaskState::Reserved | TaskState::Running));
     WorkerView {
         silent_ms: now.saturating_duration_since(seen.heard).as_millis() as u64,
         draining,
+        quarantined,
         tasks: held.count(),
         worker: seen.announcement.worker,
     }
--- a/crates/daemon/src/api/jobs.rs
+++ b/crates/daemon/src/api/jobs.rs
@@ -2,7 +2,7 @@
     super::{
         Context,
         answer::json,
-        error::{client, unavailable, unexpected},
+        error::{client, not_current, unavailable, unexpected},
     },
     control::{
         instance::{Instance, Query},
@@ -85,7 +85,7 @@
 ) -> Result<Response<Body>, HttpError> {
     let instance = &context.context().instance;
     let spec = body.into_inner();
-    let config = instance.current().ok_or_else(stale)?;
+    let config = instance.current().ok_or_else(not_current)?;
     let group = destination(instance, &config, &spec)?;
     let query = Query::Known {
         account: spec.account.clone(),
@@ -119,11 +119,6 @@
     }
 }
 
-fn stale() -> HttpError {
-    let reason = "this instance does not know whether its configuration is current; ask another";
-    unavailable(&control::instance::Error::NotRun(reason.into()))
-}
-
 /// Returns the group that keeps the job.
 fn destination(instance: &Instance, config: &Config, spec: &Spec) -> Result<String, HttpError> {
     let region = match &spec.place {
--- a/crates/daemon/src/daemon/daemon.rs
+++ b/crates/daemon/src/daemon/daemon.rs
@@ -3,7 +3,8 @@
     crate::{
         api,
         link::Http,
-        requests::{Claims, Exchange, Members, Observer, Slot},
+        metrics::{Metrics, Register},
+        requests::{Claims, Exchange, Levels, Members, Observer, Slot},
     },
     control::{
         instance::{Instance, Place, Setup},
@@ -11,7 +12,6 @@
     },
     entry::{Deps, Desk, Leftover},
     indexmap::IndexMap,
-    prometheus::Registry,
     route::{Event, Router, member::Peer},
     settings::Settings,
     std::{
@@ -38,7 +38,7 @@
 impl Daemon {
     /// Opens the disk and all listeners. Must be called on a tokio runtime.
     pub async fn spawn(settings: &Settings, options: Options) -> Result<Daemon, Error> {
-        let metrics = Registry::new();
+        let mut register = Register::default();
         let slot = Slot::default();
         let clock = options.clock.clone();
         let incarnation = clock.wall_ms();
@@ -55,6 +55,7 @@
             region: member.site.region.clone(),
         });
         desk.observe(Event::Peers(peers.collect()));
+        let levels = Arc::new(Levels::new(&own.name, slot.clone(), clock));
         let exchange = Exchange::new(
             desk.clone(),
             settings.homes.clone(),
@@ -64,14 +65,21 @@
                 .map(|member| member.id)
                 .collect(),
             settings.requests.max_deadline,
+            levels.clone(),
+        );
+        let setup = setup(
+            settings,
+            &options,
+            incarnation,
+            Arc::new(exchange),
+            levels.clone(),
         );
-        let setup = setup(settings, &options, incarnation, Arc::new(exchange));
         let instance = Instance::spawn(setup)?;
         slot.set(instance.clone());
         let deps = Deps {
             desk: desk.clone(),
             claims: Arc::new(Claims::new(slot)),
-            observer: Arc::new(Observer::new(&metrics)?),
+            observer: Arc::new(Observer::new(&mut register, levels)?),
             settings: entry::Settings {
                 max_deadline: settings.requests.max_deadline,
                 max_body: settings.requests.max_body,
@@ -81,6 +89,7 @@
             },
         };
         let requests = entry::Server::bind(settings.listen.requests, deps).await?;
+        let metrics = Metrics::new(register, desk.clone())?;
         let context = api::Context {
             instance: instance.clone(),
             members: Arc::new(Members::new(desk)),
@@ -112,6 +121,11 @@
         self.requests.address()
     }
 
+    /// The metrics.
+    pub fn metrics(&self) -> &Metrics {
+        &self.api.context().metrics
+    }
+
     /// The instance.
     pub fn instance(&self) -> &Arc<Instance> {
         &self.instance
@@ -148,6 +162,7 @@
     options: &Options,
     incarnation: u64,
     exchange: Arc<Exchange>,
+    levels: Arc<Levels>,
 ) -> Setup {
     let timing = &settings.timing;
     let instances: IndexMap<u64, Place> = settings
@@ -182,6 +197,7 @@
         },
         config_lease: timing.configuration_lease,
         call_timeout: CALL_TIMEOUT,
+        observer: levels,
         link: Arc::new(Http::new()),
         exchange,
         clock: options.clock.clone(),
