--- a/crates/control/src/group/mod.rs
+++ b/crates/control/src/group/mod.rs
@@ -5,10 +5,12 @@
 mod error;
 mod group;
 mod input;
+mod recover;
 mod view;
 
 pub use {
     error::Error,
     group::{Group, Setup},
+    recover::{Held, Recovery},
     view::View,
 };
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,5 +1,7 @@
 //! `trefoilvalved`: one instance of the system.
 
+mod recover;
+
 use {
     argh::FromArgs,
     daemon::{Daemon, Error, Options, logs},
@@ -17,27 +19,45 @@
 /// Exit code of a shutdown that left requests unfinished.
 const EXIT_LEFT: u8 = 3;
 
+/// Exit code of a recovery that was refused; nothing was changed.
+const EXIT_REFUSED: u8 = 4;
+
 /// Runs one instance of trefoilvalve.
 ///
-/// Exit codes: 0 after a graceful shutdown, 1 cannot start, 2 settings cannot be used, 3 requests were left
-/// unfinished at the end of the drain.
+/// Exit codes: 0 after a graceful shutdown or a recovery, 1 cannot start, 2 settings cannot be used, 3 requests
+/// were left unfinished at the end of the drain, 4 a recovery was refused.
 #[derive(FromArgs)]
 struct Arguments {
     /// settings file, JSON with comments
     #[argh(option)]
-    settings: PathBuf,
-    /// form the groups whose first member is this instance, if its disk holds nothing of them; for the
-    /// first start of a deployment only
+    settings: Option<PathBuf>,
+    /// form the groups whose first member is this instance, if a majority of the members answers that it
+    /// holds nothing of them; for the first start of a deployment
     #[argh(switch)]
     bootstrap: bool,
     /// check the settings and exit
     #[argh(switch)]
     check: bool,
+    #[argh(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Recover(recover::Arguments),
 }
 
 fn main() -> ExitCode {
     let arguments: Arguments = argh::from_env();
-    let settings = match Settings::open(&arguments.settings) {
+    if let Some(Command::Recover(arguments)) = &arguments.command {
+        return recover(arguments);
+    }
+    let Some(path) = &arguments.settings else {
+        eprintln!("trefoilvalved: the option --settings is required; see --help");
+        return ExitCode::from(EXIT_START);
+    };
+    let settings = match Settings::open(path) {
         Ok(settings) => settings,
         Err(error) => {
             eprintln!("{error}");
@@ -45,7 +65,7 @@
         }
     };
     if arguments.check {
-        println!("{}: the settings are valid", arguments.settings.display());
+        println!("{}: the settings are valid", path.display());
         return ExitCode::SUCCESS;
     }
     let options = Options {
@@ -62,6 +82,23 @@
     }
 }
 
+fn recover(arguments: &recover::Arguments) -> ExitCode {
+    let settings = match Settings::open(&arguments.settings) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    match recover::recover(&settings, arguments) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("trefoilvalved: {error}");
+            ExitCode::from(EXIT_REFUSED)
+        }
+    }
+}
+
 /// Runs until a signal ends the daemon; returns the number of unfinished requests.
 #[tokio::main]
 async fn run(settings: &Settings, options: Options) -> Result<usize, Error> {
--- a/crates/daemon/tests/processes/main.rs
+++ b/crates/daemon/tests/processes/main.rs
@@ -4,5 +4,6 @@
 mod gangs;
 mod kill;
 mod operators;
+mod recover;
 mod replace;
 mod settings;
