--- a/crates/daemon/tests/processes/main.rs
+++ b/crates/daemon/tests/processes/main.rs
@@ -4,6 +4,7 @@
 mod gangs;
 mod kill;
 mod operators;
+mod recover;
 mod replace;
 mod report;
 mod settings;
