--- a/crates/quorum/tests/net/world.rs
+++ b/crates/quorum/tests/net/world.rs
@@ -67,6 +67,8 @@
     pub restores: u64,
     pub elections: u64,
     pub steps: u64,
+    /// Longest time from the end of the faults to the first answer, in milliseconds.
+    pub recovery_ms: u64,
 }
 
 pub struct World {
@@ -120,6 +122,18 @@
     linearizable?;
     world.check_recovery()?;
     world.stats.elections = world.oracle.elections() as u64;
+    let after = |record: &&register::Record| record.start >= world.faults_end;
+    let answers = world
+        .oracle
+        .history
+        .iter()
+        .filter(after)
+        .map(|record| record.end);
+    world.stats.recovery_ms = answers
+        .min()
+        .unwrap_or(u64::MAX)
+        .saturating_sub(world.faults_end)
+        / MS;
     Ok(world.stats)
 }
 
@@ -246,6 +260,7 @@
             }
             Item::Attack => {}
             Item::Restart { at } => self.restart(at),
+            Item::Lose { .. } | Item::Isolate { .. } if self.time >= self.faults_end => {}
             Item::Lose { at } => self.replace_disk(at),
             Item::Isolate { at, time } => self.isolate(at, time, true, true),
             Item::CalmNetwork => (self.loss, self.delay) = (0.0, 10 * MS),
@@ -408,5 +423,6 @@
         self.restores += other.restores;
         self.elections += other.elections;
         self.steps += other.steps;
+        self.recovery_ms = self.recovery_ms.max(other.recovery_ms);
     }
 }
