--- a/crates/quorum/src/node/transfer.rs
+++ b/crates/quorum/src/node/transfer.rs
@@ -4,6 +4,9 @@
     std::sync::Arc,
 };
 
+/// Largest part of a snapshot that one message between instances may carry.
+const CHUNK_BYTES_MAX: usize = 64 * 1024;
+
 /// A snapshot that is being received.
 #[derive(Debug)]
 pub(super) struct Partial {
@@ -91,7 +94,8 @@
         };
         *sent = self.now;
         let start = (*offset as usize).min(snapshot.data.len());
-        let end = (start + self.settings.chunk_bytes).min(snapshot.data.len());
+        let size = self.settings.chunk_bytes.clamp(1, CHUNK_BYTES_MAX);
+        let end = (start + size).min(snapshot.data.len());
         Some(Body::Chunk {
             index: snapshot.index,
             term: snapshot.term,
--- a/crates/quorum/tests/net/nemesis.rs
+++ b/crates/quorum/tests/net/nemesis.rs
@@ -6,7 +6,7 @@
 
 impl World {
     /// Injects one fault, or a combination.
-    pub fn attack(&mut self) {
+    pub fn attack(&mut self) -> Result<(), String> {
         let count = self.replicas.len();
         let at = self.rng.random_range(0..count);
         let long = self.rng.random_range(100..4_000) * MS;
@@ -48,7 +48,7 @@
                 if let Some(leader) = self.leader()
                     && self.rng.random_bool(0.5)
                 {
-                    self.hand_over(leader);
+                    return self.hand_over(leader);
                 } else if self.may_lose_disk() {
                     let member = self.oracle.members.1.voters.choose(&mut self.rng).copied();
                     self.operator.task = member.map(Task::Cycle);
@@ -56,6 +56,7 @@
             }
             _ => self.lose_copy(),
         }
+        Ok(())
     }
 
     /// Cuts one replica off, and the leader when that one returns. Often the disk of another is lost
--- a/crates/quorum/tests/net/world.rs
+++ b/crates/quorum/tests/net/world.rs
@@ -206,15 +206,15 @@
         }
     }
 
-    pub fn hand_over(&mut self, at: usize) {
+    pub fn hand_over(&mut self, at: usize) -> Result<(), String> {
         let now = self.replicas[at].now(self.time);
         if self.replicas[at].paused <= self.time
             && let Some(node) = &mut self.replicas[at].node
         {
             let effects = node.transfer_leadership(None, now);
-            // A violation shows at the next step.
-            let _ = self.perform(at, effects);
+            self.perform(at, effects)?;
         }
+        Ok(())
     }
 
     fn handle(&mut self, item: Item) -> Result<(), String> {
@@ -254,7 +254,7 @@
                 return self.operate();
             }
             Item::Attack if self.time < self.faults_end => {
-                self.attack();
+                self.attack()?;
                 let wait = self.rng.random_range(50..1_500) * MS;
                 self.at(wait, Item::Attack);
             }
