--- a/crates/quorum/src/node/election.rs
+++ b/crates/quorum/src/node/election.rs
@@ -14,7 +14,7 @@
         }
         self.role = Role::PreCandidate(vec![self.me]);
         if self.has_majority() {
-            return self.stand(false);
+            return self.start_election(false);
         }
         let (last_index, last_term) = (self.log.last_index(), self.log.last_term());
         for member in self.other_voters() {
@@ -31,7 +31,7 @@
     }
 
     /// Asks for votes in a new term.
-    fn stand(&mut self, transfer: bool) {
+    fn start_election(&mut self, transfer: bool) {
         self.reset_deadline();
         self.term += 1;
         self.vote = Some(self.me);
@@ -41,7 +41,7 @@
         self.persist_hard();
         self.role = Role::Candidate(vec![self.me]);
         if self.has_majority() {
-            return self.lead();
+            return self.become_leader();
         }
         let (last_index, last_term) = (self.log.last_index(), self.log.last_term());
         for member in self.other_voters() {
@@ -56,7 +56,7 @@
         }
     }
 
-    fn lead(&mut self) {
+    fn become_leader(&mut self) {
         let start = self.log.last_index() + 1;
         self.leader = Some(self.me);
         self.partial = None;
@@ -103,7 +103,7 @@
         {
             votes.push(from);
             if self.has_majority() {
-                self.stand(false);
+                self.start_election(false);
             }
         }
     }
@@ -130,7 +130,7 @@
         {
             votes.push(from);
             if self.has_majority() {
-                self.lead();
+                self.become_leader();
             }
         }
     }
@@ -138,7 +138,7 @@
     /// The leader of the current term hands over to this replica.
     pub(super) fn on_timeout_now(&mut self) {
         if matches!(self.role, Role::Follower) && self.log.members().is_voter(self.me) {
-            self.stand(true);
+            self.start_election(true);
         }
     }
 }
--- a/crates/quorum/src/node/flights.rs
+++ b/crates/quorum/src/node/inflight.rs
@@ -2,13 +2,13 @@
 
 /// Messages with entries that were not acknowledged yet.
 #[derive(Debug, Default)]
-pub(super) struct Flights {
+pub(super) struct Inflight {
     /// Last entry, size in bytes and time of each message.
     queue: VecDeque<(u64, usize, Instant)>,
     bytes: usize,
 }
 
-impl Flights {
+impl Inflight {
     /// Bytes of all entries on the way.
     pub fn bytes(&self) -> usize {
         self.bytes
@@ -25,7 +25,7 @@
     }
 
     /// Forgets the messages whose entries are all acknowledged.
-    pub fn landed(&mut self, matched: u64) {
+    pub fn acknowledge(&mut self, matched: u64) {
         while let Some((_, bytes, _)) = self.queue.pop_front_if(|(last, _, _)| *last <= matched) {
             self.bytes -= bytes;
         }
--- a/crates/quorum/src/node/lead.rs
+++ b/crates/quorum/src/node/lead.rs
@@ -22,7 +22,7 @@
     /// Pending proposals as index and ticket, by index.
     pub proposals: VecDeque<(u64, u64)>,
     pub pending_bytes: usize,
-    pub reads: Vec<Waiting>,
+    pub reads: Vec<PendingRead>,
     /// Ticket of the change in progress, if it was proposed here.
     pub change: Option<u64>,
     pub handover: Option<Handover>,
@@ -30,7 +30,7 @@
 
 /// A read that waits for its index and for a heartbeat round.
 #[derive(Debug)]
-pub(super) struct Waiting {
+pub(super) struct PendingRead {
     pub ticket: u64,
     pub index: u64,
     pub round: u64,
--- a/crates/quorum/src/node/mod.rs
+++ b/crates/quorum/src/node/mod.rs
@@ -3,9 +3,9 @@
 mod commit;
 mod contact;
 mod election;
-mod flights;
 mod follow;
 mod handover;
+mod inflight;
 mod lead;
 mod node;
 mod persist;
@@ -17,8 +17,8 @@
 
 pub use node::Node;
 use {
-    flights::Flights,
-    lead::{Handover, Lead, Waiting},
+    inflight::Inflight,
+    lead::{Handover, Lead, PendingRead},
     progress::{Mode, Progress},
     replicate::is_overdue,
     role::Role,
--- a/crates/quorum/src/node/progress.rs
+++ b/crates/quorum/src/node/progress.rs
@@ -1,5 +1,5 @@
 use {
-    super::Flights,
+    super::Inflight,
     crate::Snapshot,
     std::{sync::Arc, time::Instant},
 };
@@ -41,10 +41,10 @@
         self.matched = self.matched.max(matched);
         self.next = self.next.max(self.matched + 1);
         match &mut self.mode {
-            Mode::Probe { .. } => self.mode = Mode::Stream(Flights::default()),
-            Mode::Stream(flights) => flights.landed(matched),
+            Mode::Probe { .. } => self.mode = Mode::Stream(Inflight::default()),
+            Mode::Stream(inflight) => inflight.acknowledge(matched),
             Mode::Snapshot { snapshot, .. } if matched >= snapshot.index => {
-                self.mode = Mode::Stream(Flights::default());
+                self.mode = Mode::Stream(Inflight::default());
             }
             Mode::Snapshot { .. } => {}
         }
@@ -61,7 +61,7 @@
         sent: Option<Instant>,
     },
     /// Several messages at a time, bounded by their bytes.
-    Stream(Flights),
+    Stream(Inflight),
     /// A snapshot, one chunk at a time.
     Snapshot {
         snapshot: Arc<Snapshot>,
--- a/crates/quorum/src/node/propose.rs
+++ b/crates/quorum/src/node/propose.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Node, Role, Waiting},
+    super::{Node, PendingRead, Role},
     crate::{Change, Outcome, Payload, Refusal, settings::Fault},
 };
 
@@ -93,7 +93,7 @@
         };
         let first = lead.reads.is_empty();
         let round = lead.round + 1;
-        lead.reads.push(Waiting {
+        lead.reads.push(PendingRead {
             ticket,
             index,
             round,
--- a/crates/quorum/src/node/replicate.rs
+++ b/crates/quorum/src/node/replicate.rs
@@ -70,10 +70,10 @@
         match &mut progress.mode {
             Mode::Probe { sent: Some(sent) } if !overdue(*sent) => return None,
             Mode::Probe { .. } => {}
-            Mode::Stream(flights) => {
-                if flights.oldest().is_some_and(overdue) {
+            Mode::Stream(inflight) => {
+                if inflight.oldest().is_some_and(overdue) {
                     progress.probe(progress.matched + 1);
-                } else if progress.next > last || flights.bytes() >= self.settings.inflight_bytes {
+                } else if progress.next > last || inflight.bytes() >= self.settings.inflight_bytes {
                     return None;
                 }
             }
@@ -89,10 +89,10 @@
             .to_vec();
         match &mut progress.mode {
             Mode::Probe { sent } => *sent = Some(now),
-            Mode::Stream(flights) => {
+            Mode::Stream(inflight) => {
                 let bytes = entries.iter().map(Entry::size).sum();
                 progress.next += entries.len() as u64;
-                flights.push(progress.next - 1, bytes, now);
+                inflight.push(progress.next - 1, bytes, now);
             }
             Mode::Snapshot { .. } => {}
         }
--- a/crates/quorum/src/node/transfer.rs
+++ b/crates/quorum/src/node/transfer.rs
@@ -59,12 +59,12 @@
         let Role::Leader(lead) = &self.role else {
             return u64::MAX;
         };
-        let patience = self.settings.election_max;
+        let timeout = self.settings.election_max;
         let floor = |progress: &Progress| match &progress.mode {
             Mode::Snapshot { snapshot, .. }
                 if progress
                     .acked
-                    .is_some_and(|acked| self.now < acked + patience) =>
+                    .is_some_and(|acked| self.now < acked + timeout) =>
             {
                 Some(snapshot.index)
             }
--- a/crates/quorum/tests/net/client.rs
+++ b/crates/quorum/tests/net/client.rs
@@ -8,7 +8,7 @@
 };
 
 /// Time after which a client takes an operation's outcome as unknown.
-const PATIENCE: u64 = 1_500 * MS;
+const CALL_TIMEOUT: u64 = 1_500 * MS;
 
 /// Every third period of this length has few writes.
 const QUIET: u64 = 3_000 * MS;
@@ -70,7 +70,7 @@
         };
         let delay = self.rng.random_range(0..2 * MS);
         self.at(delay, Item::Request { to, event });
-        self.at(PATIENCE, Item::Expire { client, ticket });
+        self.at(CALL_TIMEOUT, Item::Expire { client, ticket });
     }
 
     /// The client gives up waiting.
--- a/crates/quorum/tests/net/nemesis.rs
+++ b/crates/quorum/tests/net/nemesis.rs
@@ -121,9 +121,9 @@
         self.at(down, Item::Restart { at });
     }
 
-    /// Sometimes kills a replica right after it has promised something, and mutes the one that relies
-    /// on the promise. Returns whether the sender died.
-    pub fn trap(&mut self, at: usize, to: u64, message: &Message) -> bool {
+    /// Sometimes crashes a replica right after it has sent a vote or an acknowledgement, and drops the
+    /// messages of the one that relies on it. Returns whether the sender crashed.
+    pub fn crash_after_answer(&mut self, at: usize, to: u64, message: &Message) -> bool {
         let chance = match message.body {
             Body::VoteReply { granted: true } => 0.1,
             Body::AppendReply { .. } => 0.004,
--- a/crates/quorum/tests/net/world.rs
+++ b/crates/quorum/tests/net/world.rs
@@ -357,7 +357,7 @@
         }
     }
 
-    /// Puts a message on the network; returns whether the sender died right afterwards.
+    /// Puts a message on the network; returns whether the sender crashed right afterwards.
     fn transmit(&mut self, at: usize, to: u64, message: Message) -> bool {
         let from = at as u64 + 1;
         let copies = 1 + usize::from(self.rng.random_bool(0.02 + self.loss / 2.0));
@@ -379,7 +379,7 @@
                 );
             }
         }
-        self.trap(at, to, &message)
+        self.crash_after_answer(at, to, &message)
     }
 
     fn is_blocked(&self, from: u64, to: u64) -> bool {
