--- a/crates/quorum/tests/net/world.rs
+++ b/crates/quorum/tests/net/world.rs
@@ -67,6 +67,8 @@
     pub restores: u64,
     pub elections: u64,
     pub steps: u64,
+    /// Longest time from the end of the faults to the first answer, in milliseconds.
+    pub recovery_ms: u64,
 }
 
 pub struct World {
@@ -120,6 +122,18 @@
     linearizable?;
     world.check_recovery()?;
     world.stats.elections = world.oracle.elections() as u64;
+    let after = |record: &&register::Record| record.start >= world.faults_end;
+    let answers = world
+        .oracle
+        .history
+        .iter()
+        .filter(after)
+        .map(|record| record.end);
+    world.stats.recovery_ms = answers
+        .min()
+        .unwrap_or(u64::MAX)
+        .saturating_sub(world.faults_end)
+        / MS;
     Ok(world.stats)
 }
 
@@ -192,15 +206,15 @@
         }
     }
 
-    pub fn hand_over(&mut self, at: usize) {
+    pub fn hand_over(&mut self, at: usize) -> Result<(), String> {
         let now = self.replicas[at].now(self.time);
         if self.replicas[at].paused <= self.time
             && let Some(node) = &mut self.replicas[at].node
         {
             let effects = node.transfer_leadership(None, now);
-            // A violation shows at the next step.
-            let _ = self.perform(at, effects);
+            self.perform(at, effects)?;
         }
+        Ok(())
     }
 
     fn handle(&mut self, item: Item) -> Result<(), String> {
@@ -240,12 +254,13 @@
                 return self.operate();
             }
             Item::Attack if self.time < self.faults_end => {
-                self.attack();
+                self.attack()?;
                 let wait = self.rng.random_range(50..1_500) * MS;
                 self.at(wait, Item::Attack);
             }
             Item::Attack => {}
             Item::Restart { at } => self.restart(at),
+            Item::Lose { .. } | Item::Isolate { .. } if self.time >= self.faults_end => {}
             Item::Lose { at } => self.replace_disk(at),
             Item::Isolate { at, time } => self.isolate(at, time, true, true),
             Item::CalmNetwork => (self.loss, self.delay) = (0.0, 10 * MS),
@@ -342,7 +357,7 @@
         }
     }
 
-    /// Puts a message on the network; returns whether the sender died right afterwards.
+    /// Puts a message on the network; returns whether the sender crashed right afterwards.
     fn transmit(&mut self, at: usize, to: u64, message: Message) -> bool {
         let from = at as u64 + 1;
         let copies = 1 + usize::from(self.rng.random_bool(0.02 + self.loss / 2.0));
@@ -364,7 +379,7 @@
                 );
             }
         }
-        self.trap(at, to, &message)
+        self.crash_after_answer(at, to, &message)
     }
 
     fn is_blocked(&self, from: u64, to: u64) -> bool {
@@ -408,5 +423,6 @@
         self.restores += other.restores;
         self.elections += other.elections;
         self.steps += other.steps;
+        self.recovery_ms = self.recovery_ms.max(other.recovery_ms);
     }
 }
