Keep remote slots with their region, and half for short work at first

An instance that has just started knows no burst and now leaves half of its slots to short work for 20 s.

--- a/crates/route/src/router/demand.rs
+++ b/crates/route/src/router/demand.rs
@@ -16,10 +16,6 @@
 /// Weight of the latest demand in the reported one. Reported demand that jumps moves shares to and fro.
 const GAIN: f64 = 0.3;
 
-/// Part of an account's demand that is reported for other regions although its own has upstreams, for the
-/// requests that spill over.
-const SPILL_PART: f64 = 0.05;
-
 /// Time in which the queues are meant to drain.
 const DRAIN: Duration = Duration::from_secs(2);
 
@@ -60,7 +56,9 @@
                     .count() as f64
             };
             let (near, far) = (count(true), count(false));
-            let far_part = if near > 0.0 { SPILL_PART } else { 1.0 };
+            // Slots of other regions that are idle come through `IDLE_WANT`; demand for them while the own
+            // region has upstreams would only withhold them from their own region.
+            let far_part = if near > 0.0 { 0.0 } else { 1.0 };
             for (want, seat) in wants.iter_mut().zip(self.seats.values()) {
                 if !fits(seat) {
                     continue;
--- a/crates/route/src/router/pool.rs
+++ b/crates/route/src/router/pool.rs
@@ -10,9 +10,6 @@
 /// Part of the short requests that should find a slot at once.
 const AT_ONCE: f64 = 0.995;
 
-/// Arrivals that must have been seen before less than half of the slots may be kept.
-const ENOUGH: f64 = 1000.0;
-
 /// The upstreams of one service in one region, as far as this instance may use them.
 #[derive(Debug)]
 pub(super) struct Pool {
@@ -26,6 +23,7 @@
     /// How often a short request arrived when short work, with it, needed this many slots.
     seen: [Vec<f64>; 2],
     since: Instant,
+    created: Instant,
     /// Slots that sufficed for [`AT_ONCE`] of them.
     needed: u32,
 }
@@ -41,6 +39,7 @@
             waiting: 0,
             seen: Default::default(),
             since: now,
+            created: now,
             needed: 0,
         }
     }
@@ -68,7 +67,9 @@
         }
         let total: f64 = self.seen.iter().flatten().sum();
         let mut above = total * (1.0 - AT_ONCE);
-        self.needed = if total < ENOUGH { self.slots / 2 } else { 0 };
+        // An instance that has just started has seen no burst yet.
+        let learning = now.duration_since(self.created) < WINDOW;
+        self.needed = if learning { self.slots / 2 } else { 0 };
         let most = self.seen.iter().map(Vec::len).max().unwrap_or(0);
         for need in (0..most).rev() {
             above -= self
