--- a/crates/trial/src/requests/mod.rs
+++ b/crates/trial/src/requests/mod.rs
@@ -1,7 +1,9 @@
 //! The request rows of the target table: routers of all instances against stand-in upstreams on a virtual
 //! clock, and two simple baselines from the same seeds.
 
+mod flow;
 mod measure;
+mod messages;
 mod node;
 mod options;
 mod report;
