Encode gossip, demand and grants compactly

Membership messages, demand and grants were JSON with all field names. The region leader's grants to seven instances were the largest part of its traffic, and one pulled record took about 260 bytes. They are postcard now, like the rest of the report.

--- a/crates/daemon/src/requests/exchange.rs
+++ b/crates/daemon/src/requests/exchange.rs
@@ -1,19 +1,97 @@
 use {
     entry::Desk,
     indexmap::IndexMap,
-    model::clock::Clock,
+    model::{
+        clock::Clock,
+        upstream::{Announcement, Upstream},
+    },
     route::{
         Event,
-        member::Delta,
+        member::{Delta, Echo, Record, Renewal},
         share::{Grant, Granter, Report},
     },
+    serde::{Deserialize, Serialize},
     std::{
         sync::{Arc, Mutex, PoisonError},
         time::{Duration, Instant},
     },
 };
 
-/// The request path's part in the messages between instances, as JSON.
+/// A membership message in the compact encoding of `postcard`.
+#[derive(Serialize, Deserialize)]
+struct Packed {
+    from: u64,
+    number: u64,
+    echo: Option<Echo>,
+    records: Vec<PackedRecord>,
+    renewals: Vec<Renewal>,
+    digest: u64,
+    pull: bool,
+}
+
+/// A record without fields that are left out when absent, which `postcard` cannot read back.
+#[derive(Serialize, Deserialize)]
+struct PackedRecord {
+    upstream: Upstream,
+    sequence: u64,
+    departing: bool,
+    busy: Option<u16>,
+    age_ms: u64,
+}
+
+impl From<Record> for PackedRecord {
+    fn from(record: Record) -> PackedRecord {
+        let announcement = record.announcement;
+        PackedRecord {
+            upstream: announcement.upstream,
+            sequence: announcement.sequence,
+            departing: announcement.departing,
+            busy: announcement.busy,
+            age_ms: record.age_ms,
+        }
+    }
+}
+
+impl From<PackedRecord> for Record {
+    fn from(packed: PackedRecord) -> Record {
+        Record {
+            announcement: Announcement {
+                upstream: packed.upstream,
+                sequence: packed.sequence,
+                departing: packed.departing,
+                busy: packed.busy,
+            },
+            age_ms: packed.age_ms,
+        }
+    }
+}
+
+fn pack(delta: Delta) -> postcard::Result<Vec<u8>> {
+    postcard::to_stdvec(&Packed {
+        from: delta.from,
+        number: delta.number,
+        echo: delta.echo,
+        records: delta.records.into_iter().map(PackedRecord::from).collect(),
+        renewals: delta.renewals,
+        digest: delta.digest,
+        pull: delta.pull,
+    })
+}
+
+fn unpack(message: &[u8]) -> postcard::Result<Delta> {
+    let packed: Packed = postcard::from_bytes(message)?;
+    Ok(Delta {
+        from: packed.from,
+        number: packed.number,
+        echo: packed.echo,
+        records: packed.records.into_iter().map(Record::from).collect(),
+        renewals: packed.renewals,
+        digest: packed.digest,
+        pull: packed.pull,
+    })
+}
+
+/// The request path's part in the messages between instances, in compact encodings.
 pub struct Exchange {
     desk: Arc<Desk>,
     clock: Arc<dyn Clock>,
@@ -70,12 +148,12 @@
 impl control::instance::Exchange for Exchange {
     fn gossip(&self) -> Vec<(u64, Vec<u8>)> {
         let deltas = self.desk.with(|router, now| router.gossip(now));
-        let encode = |(to, delta): (u64, Delta)| Some((to, serde_json::to_vec(&delta).ok()?));
+        let encode = |(to, delta): (u64, Delta)| Some((to, pack(delta).ok()?));
         deltas.into_iter().filter_map(encode).collect()
     }
 
     fn merge(&self, message: &[u8]) {
-        match serde_json::from_slice(message) {
+        match unpack(message) {
             Ok(delta) => self.desk.observe(Event::Gossip(delta)),
             Err(error) => log::warn!("event=gossip_malformed error=\"{error}\""),
         }
@@ -90,14 +168,14 @@
         if reports.is_empty() {
             return Vec::new();
         }
-        serde_json::to_vec(&reports).unwrap_or_default()
+        postcard::to_stdvec(&reports).unwrap_or_default()
     }
 
     fn grant(&self, group: &str, demand: &[u8], term: u64, leading_since: Instant) -> Vec<u8> {
         if demand.is_empty() {
             return Vec::new();
         }
-        let reports: Vec<Report> = match serde_json::from_slice(demand) {
+        let reports: Vec<Report> = match postcard::from_bytes(demand) {
             Ok(reports) => reports,
             Err(error) => {
                 log::warn!("event=demand_malformed group={group} error=\"{error}\"");
@@ -112,14 +190,14 @@
         let grants: Vec<Grant> = own
             .filter_map(|report| self.decide(report, term, leading_since))
             .collect();
-        serde_json::to_vec(&grants).unwrap_or_default()
+        postcard::to_stdvec(&grants).unwrap_or_default()
     }
 
     fn granted(&self, grants: &[u8]) {
         if grants.is_empty() {
             return;
         }
-        match serde_json::from_slice::<Vec<Grant>>(grants) {
+        match postcard::from_bytes::<Vec<Grant>>(grants) {
             Ok(grants) => {
                 for grant in grants {
                     self.desk.observe(Event::Granted(grant));
