Expire outcomes of the configuration group

Only the controllers proposed Expire, and only the region groups have one, so outcomes of note submissions in the configuration group were kept for good. The config leader now proposes it each 10 minutes; the rule itself, 7 days and at least 4,096 outcomes, is unchanged.

The effect after 7 days is not measured.

--- a/crates/control/src/instance/loops.rs
+++ b/crates/control/src/instance/loops.rs
@@ -1,5 +1,6 @@
 use {
     super::{Instance, Query, Report, handler::CONFIG},
+    crate::state::Command,
     indexmap::IndexSet,
     quorum::Change,
     std::{sync::Arc, time::Duration},
@@ -25,6 +26,10 @@
 /// Interval at which the members of the groups are compared with the settings.
 const MEMBERS_EVERY: Duration = Duration::from_millis(500);
 
+/// Interval at which the config leader removes outcomes that need not be kept. The controllers do the same
+/// for the region groups, but the configuration group has none.
+const EXPIRE_EVERY: Duration = Duration::from_secs(600);
+
 /// Starts the loops of an instance; they end when it is stopped.
 pub(super) fn spawn(instance: &Arc<Instance>) {
     tokio::spawn(follow(instance.clone()));
@@ -35,6 +40,7 @@
         tokio::spawn(report(instance.clone(), group));
     }
     tokio::spawn(gossip(instance.clone()));
+    tokio::spawn(expire(instance.clone()));
 }
 
 /// Keeps the configuration and the lease on it current.
@@ -137,6 +143,20 @@
     }
 }
 
+/// As the config leader, removes outcomes of submissions that are past their time.
+async fn expire(instance: Arc<Instance>) {
+    while !instance.is_stopped() {
+        time::sleep(EXPIRE_EVERY).await;
+        let Some(group) = instance.groups.get(CONFIG) else {
+            return;
+        };
+        if group.view().leading_since.is_some() {
+            let at_ms = instance.setup.clock.wall_ms();
+            drop(group.propose(Command::Expire { at_ms }.encode()).await);
+        }
+    }
+}
+
 /// Sends membership messages to the other instances.
 async fn gossip(instance: Arc<Instance>) {
     while !instance.is_stopped() {
