--- a/crates/gang/src/scheduler/claim.rs
+++ b/crates/gang/src/scheduler/claim.rs
@@ -33,7 +33,7 @@
         heads.sort_unstable();
         for (_, key) in heads {
             let mut next = Some(key);
-            while let Some(key) = next.take().filter(|_| turn.out.len() < self.settings.tries) {
+            while let Some(key) = next.take() {
                 let Some(record) = self.jobs.get(&key.1) else {
                     break;
                 };
@@ -282,6 +282,7 @@
         victims: &BTreeSet<u64>,
         turn: &mut Turn,
     ) {
+        self.stirred = true;
         if kind != Kind::Starving {
             self.drop_soft(id, &parts);
             parts.iter().for_each(|part| turn.view.hold(part));
@@ -291,7 +292,13 @@
                 Kind::Claim(_) => Reason::Claim { job: id },
                 _ => Reason::Precedence { job: id },
             };
-            self.ask(*victim, reason, turn);
+            if self
+                .jobs
+                .get(victim)
+                .is_some_and(|record| record.asked.is_none())
+            {
+                self.ask(*victim, reason, turn);
+            }
         }
         let booking = Booking {
             kind,
--- a/crates/gang/src/scheduler/compact.rs
+++ b/crates/gang/src/scheduler/compact.rs
@@ -5,13 +5,16 @@
         fleet::{Filter, pack},
         reclaim::{Booking, Holders, Kind, Plan, Search},
     },
-    std::cmp::Reverse,
+    std::{cmp::Reverse, time::Duration},
 };
 
 /// Seconds that a gang loses by a checkpoint, a stop and a new start, beside the work since its last
 /// checkpoint.
 const MOVE_SECONDS: u64 = 10;
 
+/// Time between two looks for work to move.
+const CONSIDER_EVERY: Duration = Duration::from_secs(1);
+
 /// Gangs for which one compaction tries to make room, the largest first.
 const COMPACT_TRIES: usize = 4;
 
@@ -25,6 +28,13 @@
         if elapsed.is_some_and(|elapsed| elapsed < self.settings.compact_every) {
             return;
         }
+        let considered = self
+            .considered
+            .map(|last| turn.now.saturating_duration_since(last));
+        if considered.is_some_and(|considered| considered < CONSIDER_EVERY) {
+            return;
+        }
+        self.considered = Some(turn.now);
         let mut queued: Vec<_> = turn
             .blocked
             .iter()
@@ -113,14 +123,7 @@
             for victim in &plan.holders {
                 self.ask(*victim, Reason::Compaction { job: id }, turn);
             }
-            plan.parts.iter().for_each(|part| turn.view.hold(part));
-            let booking = Booking {
-                kind: Kind::Firm,
-                parts: plan.parts,
-                victims: plan.holders.into_iter().collect(),
-                since: turn.now,
-            };
-            self.bookings.insert(id, booking);
+            self.book(id, Kind::Firm, plan.parts, &plan.holders, turn);
             return true;
         }
         false
--- a/crates/gang/src/scheduler/decide.rs
+++ b/crates/gang/src/scheduler/decide.rs
@@ -4,7 +4,7 @@
         Decision,
         fault::Fault,
         fleet::{Filter, Room},
-        reclaim::{Kind, Search},
+        reclaim::{Holders, Kind, Plan, Search},
         record::{Key, Record},
     },
     model::job::Class,
@@ -51,6 +51,9 @@
 impl Scheduler {
     /// Returns the proposals for the present state; call it again while it returns any.
     pub fn decide(&mut self, now: Instant) -> Vec<Decision> {
+        if !std::mem::take(&mut self.stirred) {
+            return Vec::new();
+        }
         while let Some(id) = self.queue.due(now) {
             self.enqueue(id);
         }
@@ -63,6 +66,8 @@
             view: self.view(),
             closed: self.closed(),
             blocked: Vec::new(),
+            tries: self.settings.tries,
+            sweeps: None,
             out,
         };
         self.progress(&mut turn);
@@ -72,6 +77,7 @@
         self.reserve(&mut turn);
         self.compact(&mut turn);
         self.tell(&mut turn.out);
+        self.stirred |= !turn.out.is_empty() || turn.tries == 0;
         turn.out
     }
 
@@ -84,9 +90,6 @@
             }
         }
         while let Some(Reverse(head)) = heap.pop() {
-            if turn.out.len() >= self.settings.tries {
-                return;
-            }
             let Some(record) = self.jobs.get(&head.key.1) else {
                 continue;
             };
@@ -158,6 +161,11 @@
         if self.tried.get(&tried) == Some(&self.epoch) {
             return false;
         }
+        // What is left over follows in the next call.
+        if turn.tries == 0 {
+            return false;
+        }
+        turn.tries -= 1;
         let done =
             self.within_quota(id) && (self.borrow(id, turn) || self.precede(id, head.rank, turn));
         if !done {
@@ -208,16 +216,39 @@
         let Some(record) = self.jobs.get(&id).filter(|_| rank < 2) else {
             return false;
         };
-        let now = turn.now;
-        let holders = self.holders(|job, other| {
+        let sweeps = match turn.sweeps.take() {
+            Some((least, sweeps)) if least == rank => sweeps,
+            _ => self.sweeps(rank, turn),
+        };
+        let plan = self.plan_before(id, record, &sweeps, turn);
+        turn.sweeps = Some((rank, sweeps));
+        let Some(plan) = plan else {
+            return false;
+        };
+        if !record.is_stoppable() && !self.admit(id, None, &plan.parts) {
+            return false;
+        }
+        self.book(id, Kind::Firm, plan.parts, &plan.holders, turn);
+        // The next one must not count on the sweeps that were asked to stop for this one.
+        turn.sweeps = None;
+        true
+    }
+
+    /// Running sweeps that may be stopped for work of a rank below theirs. Those on reserved places
+    /// give way to the reservation.
+    fn sweeps(&self, rank: u8, turn: &Turn) -> Holders {
+        self.holders(|job, other| {
             other.class == Class::Sweep
                 && other.borrowed
                 && other.is_stoppable()
-                && self.rank(other, now) > rank
-                && !self.is_reserved(id, job)
-        });
-        if holders.jobs.is_empty() {
-            return false;
+                && self.rank(other, turn.now) > rank
+                && !self.is_reserved(u64::MAX, job)
+        })
+    }
+
+    fn plan_before(&self, id: u64, record: &Record, sweeps: &Holders, turn: &Turn) -> Option<Plan> {
+        if sweeps.jobs.is_empty() {
+            return None;
         }
         let centres = self.open_centres(record, turn, true);
         let mut free = self.free_of(turn);
@@ -225,7 +256,7 @@
         let search = Search {
             fleet: &self.fleet,
             free: &free,
-            holders: &holders,
+            holders: sweeps,
             waits: false,
         };
         let avoid = self.avoided(record, &record.shape, &centres);
@@ -233,14 +264,7 @@
             centres: &centres,
             avoid,
         };
-        let Some(plan) = search.plans(&record.shape, filter).into_iter().next() else {
-            return false;
-        };
-        if !record.is_stoppable() && !self.admit(id, None, &plan.parts) {
-            return false;
-        }
-        self.book(id, Kind::Firm, plan.parts, &plan.holders, turn);
-        true
+        search.plans(&record.shape, filter).into_iter().next()
     }
 
     /// The view for work that cannot be stopped: without the places reserved for others.
--- a/crates/gang/src/scheduler/observe.rs
+++ b/crates/gang/src/scheduler/observe.rs
@@ -12,6 +12,8 @@
     /// Takes one event into account.
     pub fn observe(&mut self, event: Event, now: Instant) {
         self.serve(now);
+        // An announcement without news leaves nothing to decide; it says so itself if it has news.
+        self.stirred |= !matches!(event, Event::WorkerSeen { .. });
         match event {
             Event::Configured(config) => self.configured(*config),
             Event::WorkerSeen { worker, tasks } => self.worker_seen(&worker, &tasks),
@@ -82,6 +84,7 @@
     pub(crate) fn changed(&mut self) {
         self.epoch += 1;
         self.firm = None;
+        self.stirred = true;
     }
 
     fn worker_seen(&mut self, worker: &Worker, tasks: &[Task]) {
@@ -122,6 +125,7 @@
             part.memory_mb = memory_mb;
             self.room.hold(part);
             self.epoch += 1;
+            self.stirred = true;
             if !record.borrowed || !record.is_stoppable() {
                 self.firm = None;
             }
--- a/crates/gang/src/scheduler/progress.rs
+++ b/crates/gang/src/scheduler/progress.rs
@@ -89,6 +89,7 @@
     fn unbook(&mut self, id: u64, booking: &Booking, turn: &mut Turn) {
         self.bookings.remove(&id);
         self.epoch += 1;
+        self.stirred = true;
         if !booking.is_soft() {
             self.firm = None;
             self.refresh();
--- a/crates/gang/src/scheduler/scheduler.rs
+++ b/crates/gang/src/scheduler/scheduler.rs
@@ -58,10 +58,14 @@
     pub(crate) tried: HashMap<Tried, u64>,
     /// Whether held work must be compared with the permitted places again.
     pub(crate) recheck: bool,
+    /// Whether anything happened since the last call of `decide` that found nothing to do.
+    pub(crate) stirred: bool,
     /// When reservations were last planned.
     pub(crate) reserved: Option<Instant>,
-    /// When compaction was last considered.
+    /// When work was last moved by compaction.
     pub(crate) compacted: Option<Instant>,
+    /// When compaction was last considered.
+    pub(crate) considered: Option<Instant>,
     /// When running jobs were last judged.
     pub(crate) judged: Option<Instant>,
     #[cfg(feature = "faults")]
@@ -90,8 +94,10 @@
             epoch: 0,
             tried: HashMap::new(),
             recheck: false,
+            stirred: true,
             reserved: None,
             compacted: None,
+            considered: None,
             judged: None,
             #[cfg(feature = "faults")]
             planted: None,
--- a/crates/gang/src/scheduler/turn.rs
+++ b/crates/gang/src/scheduler/turn.rs
@@ -1,5 +1,5 @@
 use {
-    crate::{Decision, fleet::Room},
+    crate::{Decision, fleet::Room, reclaim::Holders},
     std::time::Instant,
 };
 
@@ -13,6 +13,10 @@
     pub closed: Vec<bool>,
     /// First jobs of their queues that did not fit.
     pub blocked: Vec<u64>,
+    /// Placements that may still be tried in this call.
+    pub tries: usize,
+    /// Running sweeps that may be stopped for work of a rank, once they were collected.
+    pub sweeps: Option<(u8, Holders)>,
     /// Proposals so far.
     pub out: Vec<Decision>,
 }
--- a/crates/gang/src/settings.rs
+++ b/crates/gang/src/settings.rs
@@ -43,7 +43,7 @@
             probe_after: Duration::from_secs(60),
             fail_workers: 3,
             straggler_factor: 4.0,
-            tries: 256,
+            tries: 64,
         }
     }
 }
