--- a/crates/control/tests/peers.rs
+++ b/crates/control/tests/peers.rs
@@ -60,6 +60,10 @@
     }
 
     fn granted(&self, _: &[u8]) {}
+
+    fn counts(&self) -> Vec<u8> {
+        Vec::new()
+    }
 }
 
 /// A free loopback address.
@@ -95,6 +99,7 @@
         call_timeout: Duration::from_secs(2),
         link: Arc::new(Nobody),
         exchange: Arc::new(Nobody),
+        observer: Arc::new(()),
         clock: Arc::new(System),
     };
     (Instance::spawn(setup).unwrap(), address)
