--- a/crates/disk/examples/measure.rs
+++ b/crates/disk/examples/store.rs
@@ -1,6 +1,6 @@
 //! Measures synced appends, restart time and disk use.
 //!
-//! `cargo run --release -p disk --example measure -- FOLDER`, with a folder that does not exist yet
+//! `cargo run --release -p disk --example store -- FOLDER`, with a folder that does not exist yet
 //! on the disk to be measured.
 
 use {
