Keep equal work of one account when it claims its guarantee

Cause: a fourth gang of an account at its quota stopped the first one, of the same class and size, to claim a guarantee that the others did not count under; the two would exchange places for ever. Change: a stoppable standard job stops no stoppable work of its own account and class that is at least as large.

--- a/crates/gang/src/scheduler/claim.rs
+++ b/crates/gang/src/scheduler/claim.rs
@@ -148,7 +148,15 @@
         let Some(record) = self.jobs.get(&id) else {
             return false;
         };
-        let holders = self.holders(|_, record| record.is_stoppable());
+        // Stopping equal work of the same account for a job that can be stopped itself would only
+        // exchange the two.
+        let (account, class, size) = (record.account, record.class, record.accelerators());
+        let exchangeable = class == Class::Standard && record.is_stoppable();
+        let equal = |other: &Record| {
+            let same = other.account == account && other.class == class;
+            exchangeable && same && other.accelerators() >= size
+        };
+        let holders = self.holders(|_, record| record.is_stoppable() && !equal(record));
         let free = self.free_of(turn);
         let search = Search {
             fleet: &self.fleet,
