--- a/crates/route/src/queue/queues.rs
+++ b/crates/route/src/queue/queues.rs
@@ -272,27 +272,6 @@
             .map(|(key, lane)| (key.account.as_str(), lane.waiting.len()))
     }
 
-    /// Iterates over the waiting requests.
-    pub fn iter(&self) -> impl Iterator<Item = (&Key, Waiting)> {
-        self.lanes.iter().flat_map(|(key, lane)| {
-            lane.waiting.keys().map(move |(deadline, request)| {
-                (
-                    key,
-                    Waiting {
-                        request: *request,
-                        deadline: *deadline,
-                    },
-                )
-            })
-        })
-    }
-
-    /// Forgets accounts that neither wait nor were charged much, at most once a while.
-    pub fn forget_idle(&mut self, keep: impl Fn(&str) -> bool) {
-        self.tallies
-            .retain(|name, tally| tally.waiting > 0 || keep(name));
-    }
-
     /// Time until the queue of a class drains with `slots` slots and the mean `service` time.
     pub fn drain_time(&self, class: Class, service: &str, slots: f64, mean: Duration) -> Duration {
         let work = self.waiting(class, service) as f64 * mean.as_secs_f64();
