--- a/crates/control/tests/peers.rs
+++ b/crates/control/tests/peers/hostile.rs
@@ -1,134 +1,20 @@
-//! A running instance against hostile input on its port for other instances.
-
 use {
+    super::helpers::{caller, drain, instance, works},
     control::{
-        instance::{Exchange, Instance, Place, Query, Report, Setup},
-        jobs,
+        instance::{Query, Report},
         peers::Peers,
-        state::Command,
-        worker::{Error, Link},
-    },
-    futures::{FutureExt, future::BoxFuture},
-    indexmap::IndexMap,
-    model::{
-        clock::System,
-        place::Site,
-        worker::{Answer, Order},
     },
     rand::{Rng, RngExt, SeedableRng, rngs::StdRng},
     std::{
         io::{Read, Write},
         net::{SocketAddr, TcpListener, TcpStream},
         panic,
-        sync::{
-            Arc,
-            atomic::{AtomicUsize, Ordering},
-        },
-        time::{Duration, Instant},
+        sync::atomic::{AtomicUsize, Ordering},
+        time::Duration,
     },
     tempfile::TempDir,
-    tokio::time,
-    wire::Verdict,
 };
 
-/// Far above what any condition needs, so that a slow machine does not change the verdict.
-const LIMIT: Duration = Duration::from_secs(60);
-
-const TIMEOUT: Duration = Duration::from_secs(20);
-
-struct Nobody;
-
-impl Link for Nobody {
-    fn order(&self, _: &str, _: Vec<Order>) -> BoxFuture<'static, Result<Answer, Error>> {
-        async { Err(Error::NotSent("no worker".into())) }.boxed()
-    }
-}
-
-impl Exchange for Nobody {
-    fn gossip(&self) -> Vec<(u64, Vec<u8>)> {
-        Vec::new()
-    }
-
-    fn merge(&self, _: &[u8]) {}
-
-    fn demand(&self, _: &str) -> Vec<u8> {
-        Vec::new()
-    }
-
-    fn grant(&self, _: &str, demand: &[u8], _: u64, _: Instant) -> Vec<u8> {
-        demand.to_vec()
-    }
-
-    fn granted(&self, _: &[u8]) {}
-}
-
-/// A free loopback address.
-fn free() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
-}
-
-fn instance(folder: &TempDir) -> (Arc<Instance>, SocketAddr) {
-    let address = free();
-    let place = |name: &str, peers| Place {
-        name: name.into(),
-        site: Site {
-            region: "north".into(),
-            data_centre: "north-a".into(),
-        },
-        peers,
-    };
-    // Instance 2 is played by the test.
-    let instances = IndexMap::from([(1, place("a1", address)), (2, place("a2", free()))]);
-    let groups = ["config", "north"].map(|name| (name.to_owned(), vec![1]));
-    let setup = Setup {
-        id: 1,
-        incarnation: 1,
-        instances,
-        groups: IndexMap::from(groups),
-        homes: IndexMap::from([("north".to_owned(), "north".to_owned())]),
-        folder: Some(folder.path().to_owned()),
-        bootstrap: true,
-        quorum: quorum::Settings::default(),
-        jobs: jobs::Settings::default(),
-        config_lease: Duration::from_secs(5),
-        call_timeout: Duration::from_secs(2),
-        link: Arc::new(Nobody),
-        exchange: Arc::new(Nobody),
-        clock: Arc::new(System),
-    };
-    (Instance::spawn(setup).unwrap(), address)
-}
-
-/// Peers of instance 2, which calls instance 1 at `address`.
-fn caller(address: SocketAddr) -> Peers {
-    Peers::bind(2, "127.0.0.1:0".parse().unwrap(), [(1, address)], TIMEOUT).unwrap()
-}
-
-fn drain() -> Vec<u8> {
-    let command = Command::DrainWorker {
-        worker: "w1".into(),
-        drained: true,
-    };
-    command.encode()
-}
-
-/// Waits until the instance commits a command.
-async fn works(peers: &Peers) {
-    let start = Instant::now();
-    loop {
-        let answer = peers.propose(1, "north", &drain()).await;
-        if matches!(answer, Ok(Verdict::Answer(_))) {
-            return;
-        }
-        assert!(
-            start.elapsed() < LIMIT,
-            "no command is committed: {answer:?}"
-        );
-        time::sleep(Duration::from_millis(20)).await;
-    }
-}
-
 /// What a caller sends for one proposal and one delivery, as bytes of its connection.
 async fn recorded() -> Vec<u8> {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
