Limit the wait of the follow loop for the own replica

A replica that waits for its disk does not answer, so the loop of its instance never asked the instance that leads by then, and the instance stopped admitting. The call now has the limit of a call to another instance. There is no test of it: it needs a disk that stalls under a whole instance. cargo test -p control: 31 tests passed.

--- a/crates/control/src/instance/loops.rs
+++ b/crates/control/src/instance/loops.rs
@@ -1,6 +1,6 @@
 use {
     super::{Instance, Query, Report, handler::CONFIG},
-    crate::group::Group,
+    crate::{group::Group, peers},
     futures::future,
     indexmap::IndexSet,
     quorum::Change,
@@ -105,7 +105,11 @@
         let applied = instance.follower.number();
         let own = (instance.setup.id, instance.setup.incarnation);
         let update = if target == instance.setup.id {
-            Ok(instance.lead_follower(own, applied).await)
+            // A replica that waits for its disk does not answer, and another instance may lead by now.
+            let answer = instance.lead_follower(own, applied);
+            time::timeout(instance.setup.call_timeout, answer)
+                .await
+                .map_err(|error| peers::Error::NoAnswer(error.to_string()))
         } else {
             instance.peers.follow(target, own.1, applied).await
         };
