Judge submitted jobs by the configuration of the asker

The question now carries the asker's number; the leader waits for it up to the settle time and otherwise answers "not run".

--- a/crates/control/src/instance/handler.rs
+++ b/crates/control/src/instance/handler.rs
@@ -19,6 +19,9 @@
 /// Why a new leader does not judge yet whether shapes fit.
 const NOT_SETTLED: &str = "the leader has just changed and does not know the workers yet";
 
+/// Why a leader does not judge a job of a configuration that it does not have.
+const NOT_CONFIGURED: &str = "the leader does not have the newest configuration yet";
+
 /// Serves the calls of other instances.
 pub(super) struct Server(pub(super) Arc<Instance>);
 
@@ -89,6 +92,13 @@
             let ready = match query {
                 Query::Check { .. } => controller.catch_up().await,
                 Query::CanRun { .. } if !controller.is_settled() => Err(NOT_SETTLED.to_owned()),
+                Query::CanRun { number, .. } => {
+                    let limit = self.setup.jobs.settle;
+                    let configured = controller.findings().wait_configured(number, limit).await;
+                    configured
+                        .then_some(())
+                        .ok_or_else(|| NOT_CONFIGURED.to_owned())
+                }
                 _ => Ok(()),
             };
             if let Err(reason) = ready {
@@ -139,7 +149,7 @@
             }
             Query::Job { id } => encode(&state.jobs().get(id)),
             Query::Why { id } => encode(&controller.and_then(|c| c.explain(id))),
-            Query::CanRun { spec } => {
+            Query::CanRun { spec, .. } => {
                 let known = state.jobs().find(&spec.account, &spec.key).is_some();
                 let reason = controller
                     .filter(|_| !known)
--- a/crates/control/src/instance/query.rs
+++ b/crates/control/src/instance/query.rs
@@ -58,6 +58,8 @@
     CanRun {
         /// What was submitted.
         spec: Box<Spec>,
+        /// Number of the configuration against which it was checked; the leader may have an older one.
+        number: u64,
     },
     /// Guarantees of these accounts that cannot be proved; a list of lines.
     Check {
--- a/crates/control/src/jobs/findings.rs
+++ b/crates/control/src/jobs/findings.rs
@@ -2,7 +2,11 @@
     super::Observer,
     indexmap::IndexSet,
     model::job::{Job, State},
-    std::sync::{Arc, Mutex, MutexGuard, PoisonError},
+    std::{
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::Duration,
+    },
+    tokio::{sync::watch, time},
 };
 
 /// Most jobs that are remembered between a first start that failed and the next one. Older ones are
@@ -22,6 +26,8 @@
 pub struct Findings {
     held: Arc<Mutex<Held>>,
     observer: Arc<dyn Observer>,
+    /// Number of the configuration that the scheduler works with.
+    configured: Arc<watch::Sender<u64>>,
 }
 
 impl Findings {
@@ -30,6 +36,7 @@
         Findings {
             held: Arc::default(),
             observer,
+            configured: Arc::new(watch::Sender::new(0)),
         }
     }
 
@@ -40,6 +47,19 @@
     /// Forgets everything. Another leader may have acted since the last leadership of this replica.
     pub fn reset(&self) {
         *self.held() = Held::default();
+        self.configured.send_replace(0);
+    }
+
+    /// Notes the number of the configuration that the scheduler works with.
+    pub fn configured(&self, number: u64) {
+        self.configured.send_replace(number);
+    }
+
+    /// Waits until the scheduler works with a configuration of at least `number`; false after `limit`.
+    pub async fn wait_configured(&self, number: u64, limit: Duration) -> bool {
+        let mut configured = self.configured.subscribe();
+        let reached = configured.wait_for(|held| *held >= number);
+        matches!(time::timeout(limit, reached).await, Ok(Ok(_)))
     }
 
     /// Takes the state of a job after a step that this replica proposed and that took effect.
--- a/crates/control/src/jobs/lead.rs
+++ b/crates/control/src/jobs/lead.rs
@@ -154,6 +154,7 @@
         if config.number != self.config_number {
             self.config_number = config.number;
             self.observe(Event::Configured(Box::new((*config).clone())), now);
+            self.context.findings.configured(config.number);
         }
     }
 
--- a/crates/control/tests/findings.rs
+++ b/crates/control/tests/findings.rs
@@ -4,7 +4,10 @@
     control::jobs::{Findings, Observer},
     model::job::{Job, State},
     serde_json::json,
-    std::sync::{Arc, Mutex},
+    std::{
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
 };
 
 #[derive(Default)]
@@ -121,3 +124,19 @@
     assert!(!findings.is_quarantined("w2"));
     assert_eq!(findings.owed(), 0);
 }
+
+/// Guards against a job that is refused for good because the leader judged it by an older configuration than
+/// the instance that accepted the submission.
+#[tokio::test]
+async fn waits_for_the_configuration_of_the_asker() {
+    let (_, findings) = findings();
+    findings.configured(4);
+    assert!(findings.wait_configured(4, Duration::ZERO).await);
+    assert!(!findings.wait_configured(5, Duration::ZERO).await);
+    let waiting = findings.wait_configured(5, Duration::from_secs(60));
+    let (reached, ()) = tokio::join!(waiting, async { findings.configured(5) });
+    assert!(reached);
+    // A new leadership begins without a configuration.
+    findings.reset();
+    assert!(!findings.wait_configured(1, Duration::ZERO).await);
+}
--- a/crates/daemon/src/api/jobs.rs
+++ b/crates/daemon/src/api/jobs.rs
@@ -87,6 +87,7 @@
     let group = destination(instance, &spec)?;
     let query = Query::CanRun {
         spec: Box::new(spec.clone()),
+        number: instance.number(),
     };
     let reason: Option<String> = instance
         .query(&group, &query)
