--- a/crates/daemon/src/api/jobs.rs
+++ b/crates/daemon/src/api/jobs.rs
@@ -163,6 +163,7 @@
     }
     let query = Query::CanRun {
         spec: Box::new(spec.clone()),
+        number: config.number,
     };
     let reason: Option<String> = instance
         .query(group, &query)
