Leave unchanged shares out of grants

The region leader listed all shares of an instance in every grant, although they seldom change while demand is steady. A grant now names the earlier grant that its holder has confirmed in the same term, if the shares are equal; the holder fills them in before it applies the grant. A holder that did not get the earlier grant waits for the next one, which lists the shares.

--- a/crates/daemon/src/requests/exchange.rs
+++ b/crates/daemon/src/requests/exchange.rs
@@ -12,7 +12,7 @@
     },
     serde::{Deserialize, Serialize},
     std::{
-        sync::{Arc, Mutex, PoisonError},
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::{Duration, Instant},
     },
 };
@@ -91,6 +91,21 @@
     })
 }
 
+/// A grant on its way. Shares seldom change while demand is steady, so a grant whose holder is known to have
+/// applied the same shares names that earlier grant instead of listing them.
+#[derive(Serialize, Deserialize)]
+struct PackedGrant {
+    /// Without shares if there is a basis.
+    grant: Grant,
+    /// Sequence of the earlier grant of the same term to the same process that lists the shares.
+    basis: Option<u64>,
+}
+
+/// Tells whether two grants are of the same leadership and for the same process.
+fn akin(one: &Grant, other: &Grant) -> bool {
+    (one.instance, one.boot, one.term) == (other.instance, other.boot, other.term)
+}
+
 /// The request path's part in the messages between instances, in compact encodings.
 pub struct Exchange {
     desk: Arc<Desk>,
@@ -101,6 +116,14 @@
     max_deadline: Duration,
     /// By region, while this instance leads the region's group.
     granters: Mutex<IndexMap<String, Granter>>,
+    /// Last grant sent, by region and instance.
+    issued: Mutex<IndexMap<(String, u64), Grant>>,
+    /// Last grant received, by region.
+    received: Mutex<IndexMap<String, Grant>>,
+}
+
+fn lock<T>(part: &Mutex<T>) -> MutexGuard<'_, T> {
+    part.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 impl Exchange {
@@ -118,6 +141,8 @@
             instances,
             max_deadline,
             granters: Mutex::default(),
+            issued: Mutex::default(),
+            received: Mutex::default(),
         }
     }
 
@@ -125,7 +150,7 @@
         let now = self.clock.now();
         let region = &report.region;
         let supplies = self.desk.with(|router, now| router.supplies(region, now));
-        let mut granters = self.granters.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut granters = lock(&self.granters);
         let known = granters
             .get(region)
             .is_some_and(|granter| granter.term() == term);
@@ -143,6 +168,40 @@
         granter.supply(supplies, now);
         granter.grant(report, now)
     }
+
+    /// Leaves out the shares if the report confirms that its sender applied a grant with the same ones.
+    fn shorten(&self, report: &Report, grant: Grant) -> PackedGrant {
+        let key = (grant.region.clone(), grant.instance);
+        let last = lock(&self.issued).insert(key, grant.clone());
+        let confirmed = last.is_some_and(|last| {
+            akin(&last, &grant)
+                && (report.term, report.applied) == (last.term, last.sequence)
+                && last.shares == grant.shares
+        });
+        if confirmed {
+            let shares = Vec::new();
+            return PackedGrant {
+                grant: Grant { shares, ..grant },
+                basis: Some(report.applied),
+            };
+        }
+        PackedGrant { grant, basis: None }
+    }
+
+    /// Completes a grant; `None` if the one that it builds on is not the last one received. The next report
+    /// then names another one as applied, and the answer lists the shares.
+    fn complete(&self, packed: PackedGrant) -> Option<Grant> {
+        let mut grant = packed.grant;
+        let mut received = lock(&self.received);
+        if let Some(basis) = packed.basis {
+            let last = received
+                .get(&grant.region)
+                .filter(|last| akin(last, &grant) && last.sequence == basis)?;
+            grant.shares = last.shares.clone();
+        }
+        received.insert(grant.region.clone(), grant.clone());
+        Some(grant)
+    }
 }
 
 impl control::instance::Exchange for Exchange {
@@ -187,9 +246,11 @@
                 .get(&report.region)
                 .is_some_and(|home| home == group)
         });
-        let grants: Vec<Grant> = own
-            .filter_map(|report| self.decide(report, term, leading_since))
-            .collect();
+        let decided = own.filter_map(|report| {
+            let grant = self.decide(report, term, leading_since)?;
+            Some(self.shorten(report, grant))
+        });
+        let grants: Vec<PackedGrant> = decided.collect();
         postcard::to_stdvec(&grants).unwrap_or_default()
     }
 
@@ -197,9 +258,12 @@
         if grants.is_empty() {
             return;
         }
-        match postcard::from_bytes::<Vec<Grant>>(grants) {
+        match postcard::from_bytes::<Vec<PackedGrant>>(grants) {
             Ok(grants) => {
-                for grant in grants {
+                for grant in grants
+                    .into_iter()
+                    .filter_map(|packed| self.complete(packed))
+                {
                     self.desk.observe(Event::Granted(grant));
                 }
             }
