--- a/crates/daemon/examples/capacity/cost.rs
+++ b/crates/daemon/examples/capacity/cost.rs
@@ -20,6 +20,9 @@
 /// Time for caches, shares and gossip to settle.
 const WARM_UP: Duration = Duration::from_secs(5);
 
+/// Instances that learn their first upstreams pull all entries for 10 s.
+const PULLS: Duration = Duration::from_secs(15);
+
 /// Cost without workers, upstreams and calls.
 pub async fn idle() -> Result<()> {
     for count in [3, 5, 8] {
@@ -88,7 +91,7 @@
         let cluster = Cluster::spawn(8).await?;
         cluster.accounts(77).await?;
         let _platform = Platform::spawn(&site(), 0, count, &cluster.deployment.api()).await?;
-        time::sleep(WARM_UP).await;
+        time::sleep(PULLS).await;
         let costs = sample::measure(&cluster, WINDOWS, WINDOW).await?;
         sample::report(&cluster, &format!("{count} upstreams,"), &costs).await?;
     }
