--- a/crates/trial/src/jobs/baseline.rs
+++ b/crates/trial/src/jobs/baseline.rs
@@ -60,6 +60,7 @@
                 .max_by_key(|job| works[*job].spec.shape.total_accelerators());
             if largest.is_some_and(|job| is_fragmented(&floor, &works[job], &allowed[job])) {
                 outcome.fragmented_ms += until - now;
+                outcome.fragmented_in_quota_ms += until - now;
             }
             let used = 384 - floor.total(&[true; 48]);
             outcome.used += f64::from(used) * (until - now) as f64;
--- a/crates/trial/src/jobs/ours.rs
+++ b/crates/trial/src/jobs/ours.rs
@@ -150,17 +150,47 @@
         if until <= self.now {
             return;
         }
-        let queued = (0..self.arrived).filter(|job| self.jobs[*job].state == State::Queued);
-        let largest = queued.max_by_key(|job| self.works[*job].spec.shape.total_accelerators());
-        if largest
-            .is_some_and(|job| is_fragmented(&self.floor, &self.works[job], &self.allowed[job]))
-        {
+        let queued: Vec<_> = (0..self.arrived)
+            .filter(|job| self.jobs[*job].state == State::Queued)
+            .collect();
+        let size = |job: usize| self.works[job].spec.shape.total_accelerators();
+        let largest = queued.iter().copied().max_by_key(|job| size(*job));
+        let fragmented =
+            |job: usize| is_fragmented(&self.floor, &self.works[job], &self.allowed[job]);
+        if largest.is_some_and(fragmented) {
             self.outcome.fragmented_ms += until - self.now;
         }
+        let allowed = queued
+            .iter()
+            .copied()
+            .filter(|job| self.is_within_quota(*job));
+        if allowed.max_by_key(|job| size(*job)).is_some_and(fragmented) {
+            self.outcome.fragmented_in_quota_ms += until - self.now;
+        }
         let used = 384 - self.floor.total(&[true; 48]);
         self.outcome.used += f64::from(used) * (until - self.now) as f64;
     }
 
+    fn is_within_quota(&self, job: usize) -> bool {
+        let spec = &self.works[job].spec;
+        let Some(quota) = self
+            .config
+            .accounts
+            .get(&spec.account)
+            .and_then(|a| a.quota)
+        else {
+            return true;
+        };
+        let held = self
+            .jobs
+            .iter()
+            .filter(|other| other.state.holds() && other.spec.account == spec.account);
+        let held: u32 = held
+            .map(|other| other.spec.shape.total_accelerators())
+            .sum();
+        held + spec.shape.total_accelerators() <= quota
+    }
+
     fn observe(&mut self, event: Event) {
         self.scheduler
             .observe(event, self.base + Duration::from_millis(self.now));
--- a/crates/trial/src/jobs/outcome.rs
+++ b/crates/trial/src/jobs/outcome.rs
@@ -18,6 +18,8 @@
     pub times: Vec<Times>,
     /// Time in which the largest queued gang fitted the free total but no place.
     pub fragmented_ms: u64,
+    /// The same, for the largest queued gang that the quota of its account allows.
+    pub fragmented_in_quota_ms: u64,
     /// Time until the last arrival.
     pub span_ms: u64,
     /// Broken rules, in words.
--- a/crates/trial/src/jobs/report.rs
+++ b/crates/trial/src/jobs/report.rs
@@ -1,7 +1,7 @@
 use std::fmt;
 
 /// Measures in the order of the report, with the target of the median.
-const MEASURES: [(&str, Option<f64>); 12] = [
+const MEASURES: [(&str, Option<f64>); 13] = [
     ("head-of-line blocking", Some(1.1)),
     ("short p99 wait with sweeps, s", None),
     ("short p99 wait without sweeps, s", None),
@@ -10,6 +10,7 @@
     ("completion, no sweeps submitted", None),
     ("sweep p99 wait, h", None),
     ("fragmentation, %", Some(2.0)),
+    ("fragmentation within quota, %", None),
     ("claim to start p99, s", Some(6.3)),
     ("broken promises", Some(0.0)),
     ("accelerators in use, %", None),
--- a/crates/trial/src/jobs/run.rs
+++ b/crates/trial/src/jobs/run.rs
@@ -128,6 +128,10 @@
             "fragmentation, %",
             100.0 * outcome.fragmented_ms as f64 / outcome.span_ms.max(1) as f64,
         ),
+        (
+            "fragmentation within quota, %",
+            100.0 * outcome.fragmented_in_quota_ms as f64 / outcome.span_ms.max(1) as f64,
+        ),
         ("claim to start p99, s", quantile(&mut claims, 0.99)),
         (
             "broken promises",
