--- a/crates/trial/src/jobs/baseline.rs
+++ b/crates/trial/src/jobs/baseline.rs
@@ -2,7 +2,6 @@
     super::{
         floor::{Floor, Part},
         load::{Kind, Work},
-        options::Options,
         outcome::{Outcome, Times},
         site::config,
     },
@@ -29,7 +28,7 @@
 }
 
 /// Runs the jobs by a baseline.
-pub fn run(works: &[Work], _: &Options, baseline: Baseline) -> Outcome {
+pub fn run(works: &[Work], baseline: Baseline) -> Outcome {
     let config = config();
     let mut floor = Floor::new();
     let allowed: Vec<_> = works
@@ -60,6 +59,7 @@
                 .max_by_key(|job| works[*job].spec.shape.total_accelerators());
             if largest.is_some_and(|job| is_fragmented(&floor, &works[job], &allowed[job])) {
                 outcome.fragmented_ms += until - now;
+                outcome.fragmented_in_quota_ms += until - now;
             }
             let used = 384 - floor.total(&[true; 48]);
             outcome.used += f64::from(used) * (until - now) as f64;
