Test the request path through a crest with real processes

The request path was tested per instance and on a virtual clock only. Seven processes, recording stand-in upstreams and a seeded load now run through a crest and a rolling restart; a pure checker looks for broken promises in the recorded history.

--- a/crates/daemon/tests/processes/cluster.rs
+++ b/crates/daemon/tests/processes/cluster.rs
@@ -35,8 +35,14 @@
 impl Cluster {
     /// Starts all instances and waits until each is ready and the groups have all their voters.
     pub async fn spawn(instances: usize, control: usize) -> Cluster {
+        Cluster::spawn_settling(instances, control, Duration::from_millis(100)).await
+    }
+
+    /// As [`Cluster::spawn`], with this time from the end of readiness to the end of the request listener.
+    pub async fn spawn_settling(instances: usize, control: usize, settle: Duration) -> Cluster {
         let folder = TempDir::new().unwrap();
-        let deployment = Deployment::new(instances, control, folder.path()).unwrap();
+        let mut deployment = Deployment::new(instances, control, folder.path()).unwrap();
+        deployment.drain_settle = settle;
         let mut cluster = Cluster {
             client: Client::new(deployment.api()),
             children: (0..instances).map(|_| None).collect(),
@@ -93,6 +99,20 @@
         fs::remove_dir_all(self.deployment.data(index).unwrap()).unwrap();
     }
 
+    /// Waits for the end of an instance that was told to end, and returns its exit code.
+    pub async fn ended(&mut self, index: usize) -> Option<i32> {
+        let mut child = self.children[index].take().unwrap();
+        let start = Instant::now();
+        while start.elapsed() < LIMIT {
+            if let Some(status) = child.try_wait().unwrap() {
+                return status.code();
+            }
+            time::sleep(POLL).await;
+        }
+        self.children[index] = Some(child);
+        panic!("a{} did not end within {LIMIT:?}", index + 1);
+    }
+
     /// Stops or continues an instance without ending it.
     pub fn signal(&self, index: usize, signal: rustix::process::Signal) {
         let child = self.children[index].as_ref().unwrap();
--- a/crates/daemon/tests/processes/main.rs
+++ b/crates/daemon/tests/processes/main.rs
@@ -1,8 +1,12 @@
 //! Failures of real processes: every test starts `trefoilvalved` several times on loopback.
 
 mod cluster;
+mod crest;
 mod gangs;
+mod history;
 mod kill;
+mod load;
 mod operators;
+mod planted;
 mod replace;
 mod settings;
--- a/crates/fake/src/client/client.rs
+++ b/crates/fake/src/client/client.rs
@@ -87,6 +87,17 @@
     }
 }
 
+/// Why a call has no whole answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// No connection was made, so nothing was sent.
+    Unreachable,
+    /// The connection ended before the whole answer.
+    Broken(String),
+    /// No whole answer in time.
+    Late,
+}
+
 impl Client {
     /// Sends one request to one address and returns the whole answer.
     pub async fn call(
@@ -97,6 +108,26 @@
         headers: &[(&str, &str)],
         body: impl Into<Bytes>,
     ) -> Result<Answer, String> {
+        self.call_within(CALL_TIMEOUT, address, method, path, headers, body)
+            .await
+            .map_err(|fault| match fault {
+                Fault::Unreachable => format!("{address} cannot be reached"),
+                Fault::Broken(error) => error,
+                Fault::Late => format!("{address} did not answer in time"),
+            })
+    }
+
+    /// Sends one request to one address and returns the whole answer if it arrives within `bound`.
+    pub async fn call_within(
+        &self,
+        bound: Duration,
+        address: SocketAddr,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: impl Into<Bytes>,
+    ) -> Result<Answer, Fault> {
+        let broken = |error: &dyn std::error::Error| Fault::Broken(error.to_string());
         let mut request = Request::builder()
             .method(method)
             .uri(format!("http://{address}{path}"));
@@ -105,26 +136,26 @@
         }
         let request = request
             .body(Full::new(body.into()))
-            .map_err(|error| error.to_string())?;
+            .map_err(|error| broken(&error))?;
         let call = async {
-            let answer = self
-                .inner
-                .request(request)
-                .await
-                .map_err(|e| e.to_string())?;
+            let answer = self.inner.request(request).await.map_err(|error| {
+                if error.is_connect() {
+                    Fault::Unreachable
+                } else {
+                    broken(&error)
+                }
+            })?;
             let (head, body) = answer.into_parts();
             let body = Limited::new(body, MAX_ANSWER_BYTES)
                 .collect()
                 .await
-                .map_err(|error| error.to_string())?;
+                .map_err(|error| broken(error.as_ref()))?;
             Ok(Answer {
                 status: head.status.as_u16(),
                 headers: head.headers,
                 body: body.to_bytes(),
             })
         };
-        time::timeout(CALL_TIMEOUT, call)
-            .await
-            .unwrap_or_else(|_| Err(format!("{address} did not answer in time")))
+        time::timeout(bound, call).await.unwrap_or(Err(Fault::Late))
     }
 }
--- a/crates/fake/src/client/mod.rs
+++ b/crates/fake/src/client/mod.rs
@@ -2,4 +2,4 @@
 
 mod client;
 
-pub use client::{Answer, Client};
+pub use client::{Answer, Client, Fault};
--- a/crates/fake/src/deployment/deployment.rs
+++ b/crates/fake/src/deployment/deployment.rs
@@ -2,6 +2,7 @@
     io,
     net::{SocketAddr, TcpListener},
     path::PathBuf,
+    time::Duration,
 };
 
 /// Sites in the order in which instances are placed; two data centres in `north`, one in `south`.
@@ -23,6 +24,8 @@
     addresses: Vec<[SocketAddr; 3]>,
     control: usize,
     folder: PathBuf,
+    /// Time from the end of readiness to the end of the request listener.
+    pub drain_settle: Duration,
 }
 
 impl Deployment {
@@ -45,6 +48,7 @@
             addresses: triples.to_vec(),
             control,
             folder: folder.into(),
+            drain_settle: Duration::from_millis(100),
         })
     }
 
@@ -88,6 +92,7 @@
             )
         });
         let ids: Vec<String> = (1..=self.control).map(|id| id.to_string()).collect();
+        let settle = self.drain_settle.as_millis();
         let ids = ids.join(", ");
         let [api, requests, peers] = self.addresses[index];
         format!(
@@ -100,7 +105,7 @@
     "groups": {{ "config": [{ids}], "north": [{ids}] }},
     "homes": {{ "north": "north", "south": "north" }},
     {data}
-    "requests": {{ "drain_settle": "100ms" }}
+    "requests": {{ "drain_settle": "{settle}ms" }}
 }}
 "#,
             instances.join(",\n        ")
--- a/crates/fake/src/platform/platform.rs
+++ b/crates/fake/src/platform/platform.rs
@@ -58,6 +58,13 @@
         }
         Ok(platform)
     }
+
+    /// Ends the announcements of one upstream; none is under way afterwards.
+    pub async fn quiet(&mut self, index: usize) {
+        self.loops[index].abort();
+        // The task ended by the abort, which is its only end.
+        drop((&mut self.loops[index]).await);
+    }
 }
 
 impl Drop for Platform {
--- a/crates/fake/src/upstream/behaviour.rs
+++ b/crates/fake/src/upstream/behaviour.rs
@@ -12,6 +12,10 @@
         /// Pause before each chunk.
         pause: Duration,
     },
+    /// Runs it and answers with its body in chunks after a delay.
+    EchoChunked(Duration),
+    /// Runs it, announces its whole body after a delay, sends half of it and closes.
+    EchoPart(Duration),
     /// Runs it, announces 100 bytes, sends this many and closes.
     Truncate(usize),
     /// Runs it, sends a chunk without the final one and closes.
--- a/crates/fake/src/upstream/exchange.rs
+++ b/crates/fake/src/upstream/exchange.rs
@@ -173,6 +173,25 @@
             stream.write_all(end.as_bytes()).await?;
             Ok(true)
         }
+        Behaviour::EchoChunked(delay) => {
+            pause(*delay).await;
+            let head = format!("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n{mark}\r\n");
+            stream.write_all(head.as_bytes()).await?;
+            for part in body.chunks(length.div_ceil(4).max(1)) {
+                let mut chunk = format!("{:x}\r\n", part.len()).into_bytes();
+                chunk.extend_from_slice(part);
+                chunk.extend(b"\r\n");
+                stream.write_all(&chunk).await?;
+            }
+            stream.write_all(b"0\r\n\r\n").await?;
+            Ok(true)
+        }
+        Behaviour::EchoPart(delay) => {
+            pause(*delay).await;
+            let bytes = whole(200, &mark);
+            stream.write_all(&bytes[..bytes.len() - length / 2]).await?;
+            Ok(false)
+        }
         Behaviour::Truncate(sent) => {
             stream.write_all(&partial(*sent)).await?;
             Ok(false)
@@ -250,7 +269,7 @@
     }
 }
 
-async fn until_closed(stream: &mut TcpStream) {
+pub(super) async fn until_closed(stream: &mut TcpStream) {
     let mut part = [0; 1024];
     while matches!(stream.read(&mut part).await, Ok(read) if read > 0) {}
 }
--- a/crates/fake/src/upstream/mod.rs
+++ b/crates/fake/src/upstream/mod.rs
@@ -2,6 +2,7 @@
 
 mod behaviour;
 mod exchange;
+mod run;
 mod upstream;
 
-pub use {behaviour::Behaviour, upstream::Upstream};
+pub use {behaviour::Behaviour, run::Run, upstream::Upstream};
--- a/crates/fake/src/upstream/upstream.rs
+++ b/crates/fake/src/upstream/upstream.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Behaviour, exchange},
+    super::{Behaviour, Run, exchange},
     indexmap::IndexMap,
     model::{place::Site, upstream::Announcement},
     std::{
@@ -7,10 +7,11 @@
         io,
         net::SocketAddr,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
-        time::{Duration, SystemTime},
+        time::{Duration, Instant, SystemTime},
     },
     tokio::{
         net::{TcpListener, TcpStream},
+        sync::watch,
         task::{JoinHandle, JoinSet},
         time::sleep,
     },
@@ -30,6 +31,8 @@
     connections: u64,
     heads: VecDeque<String>,
     sequence: u64,
+    /// Every request, while recording.
+    runs: Option<Vec<Run>>,
 }
 
 /// A running stand-in; stops when dropped.
@@ -39,6 +42,7 @@
     upstream: model::upstream::Upstream,
     address: SocketAddr,
     inner: Arc<Mutex<Inner>>,
+    silent: watch::Sender<bool>,
     task: JoinHandle<()>,
 }
 
@@ -56,7 +60,8 @@
             .duration_since(SystemTime::UNIX_EPOCH)
             .map_or(1, |elapsed| elapsed.as_millis() as u64);
         lock(&inner).sequence = wall;
-        let task = tokio::spawn(accept(listener, inner.clone()));
+        let (silent, heard) = watch::channel(false);
+        let task = tokio::spawn(accept(listener, inner.clone(), heard));
         let upstream = model::upstream::Upstream {
             name: name.to_owned(),
             service: service.to_owned(),
@@ -69,6 +74,7 @@
             upstream,
             address,
             inner,
+            silent,
             task,
         })
     }
@@ -100,6 +106,22 @@
         lock(&self.inner).next.push_back(behaviour);
     }
 
+    /// Goes silent for good: connections are accepted and bytes swallowed, and nothing is answered, also not
+    /// the requests in progress.
+    pub fn silence(&self) {
+        self.silent.send_replace(true);
+    }
+
+    /// Records every request from now on.
+    pub fn record(&self) {
+        lock(&self.inner).runs.get_or_insert_default();
+    }
+
+    /// The requests recorded so far in the order of their arrival.
+    pub fn runs(&self) -> Vec<Run> {
+        lock(&self.inner).runs.clone().unwrap_or_default()
+    }
+
     /// How often the request with this key ran.
     pub fn executions(&self, key: &str) -> u64 {
         lock(&self.inner).executions.get(key).copied().unwrap_or(0)
@@ -137,7 +159,7 @@
     }
 }
 
-async fn accept(listener: TcpListener, inner: Arc<Mutex<Inner>>) {
+async fn accept(listener: TcpListener, inner: Arc<Mutex<Inner>>, silent: watch::Receiver<bool>) {
     // Connections end with the task, when the set is dropped.
     let mut connections = JoinSet::new();
     loop {
@@ -145,7 +167,7 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 lock(&inner).connections += 1;
-                connections.spawn(serve(stream, inner.clone()));
+                connections.spawn(serve(stream, inner.clone(), silent.clone()));
             }
             Err(_) => sleep(Duration::from_millis(20)).await,
         }
@@ -153,46 +175,79 @@
 }
 
 /// Counts a request as in progress until dropped.
-struct Busy(Arc<Mutex<Inner>>);
+struct Busy {
+    inner: Arc<Mutex<Inner>>,
+    /// Its place among the recorded requests.
+    run: Option<usize>,
+}
 
 impl Drop for Busy {
     fn drop(&mut self) {
-        lock(&self.0).busy -= 1;
+        let mut inner = lock(&self.inner);
+        inner.busy -= 1;
+        let run = self.run;
+        if let (Some(runs), Some(run)) = (&mut inner.runs, run) {
+            runs[run].ended = Some(Instant::now());
+        }
     }
 }
 
-async fn serve(mut stream: TcpStream, inner: Arc<Mutex<Inner>>) {
+async fn serve(mut stream: TcpStream, inner: Arc<Mutex<Inner>>, mut silent: watch::Receiver<bool>) {
     if stream.set_nodelay(true).is_err() {
         return;
     }
     let mut buffer = Vec::new();
     while let Ok(Some(received)) = exchange::read(&mut stream, &mut buffer).await {
-        let behaviour = {
-            let mut inner = lock(&inner);
-            inner.total += 1;
-            inner.busy += 1;
-            inner.peak = inner.peak.max(inner.busy);
-            if let Some(key) = received.header("idempotency-key") {
-                *inner.executions.entry(key.to_owned()).or_default() += 1;
-            }
-            inner.heads.push_back(received.head_text());
-            if inner.heads.len() > HEADS_KEPT {
-                inner.heads.pop_front();
-            }
-            let delay = received
-                .header("x-fake-delay-ms")
-                .and_then(|ms| ms.parse().ok())
-                .map(|ms| Behaviour::Answer(Duration::from_millis(ms)));
-            match inner.next.pop_front() {
-                Some(next) => next,
-                None => delay.unwrap_or_else(|| inner.behaviour.clone()),
-            }
+        let (behaviour, busy) = begin(&inner, &received);
+        let open = tokio::select! {
+            open = exchange::answer(&mut stream, &received, &behaviour) => open,
+            () = async { drop(silent.wait_for(|silent| *silent).await) } => Ok(false),
         };
-        let busy = Busy(inner.clone());
-        let open = exchange::answer(&mut stream, &received, &behaviour).await;
+        if *silent.borrow() {
+            exchange::until_closed(&mut stream).await;
+        }
         drop(busy);
         if !matches!(open, Ok(true)) {
             return;
         }
     }
 }
+
+/// Counts a request and chooses what to do with it.
+fn begin(shared: &Arc<Mutex<Inner>>, received: &exchange::Received) -> (Behaviour, Busy) {
+    let mut inner = lock(shared);
+    inner.total += 1;
+    inner.busy += 1;
+    inner.peak = inner.peak.max(inner.busy);
+    if let Some(key) = received.header("idempotency-key") {
+        *inner.executions.entry(key.to_owned()).or_default() += 1;
+    }
+    inner.heads.push_back(received.head_text());
+    if inner.heads.len() > HEADS_KEPT {
+        inner.heads.pop_front();
+    }
+    let run = inner.runs.as_mut().map(|runs| {
+        runs.push(Run {
+            id: received.header("x-fake-id").unwrap_or_default().to_owned(),
+            began: Instant::now(),
+            ended: None,
+        });
+        runs.len() - 1
+    });
+    let form = match received.header("x-fake-form") {
+        Some("chunked") => Behaviour::EchoChunked,
+        Some("part") => Behaviour::EchoPart,
+        _ => Behaviour::Answer,
+    };
+    let delay = received
+        .header("x-fake-delay-ms")
+        .and_then(|ms| ms.parse().ok())
+        .map(|ms| form(Duration::from_millis(ms)));
+    let behaviour = match inner.next.pop_front() {
+        Some(next) => next,
+        None => delay.unwrap_or_else(|| inner.behaviour.clone()),
+    };
+    drop(inner);
+    let inner = shared.clone();
+    (behaviour, Busy { inner, run })
+}
