--- a/crates/daemon/tests/processes/crest.rs
+++ b/crates/daemon/tests/processes/crest.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        cluster::Cluster,
+        cluster::{Cluster, LIMIT},
         history::{Drain, GONE_LIMIT, Gone, History, Outcome, Try, check},
         load::{self, ACCOUNTS, Form, Load, MEAN_SERVICE, Phase},
     },
@@ -9,7 +9,13 @@
     model::place::Site,
     rustix::process::Signal,
     serde_json::{Map, json},
-    std::{collections::BTreeMap, env, ops::Range, time::Duration},
+    std::{
+        collections::BTreeMap,
+        env,
+        ops::Range,
+        time::{Duration, Instant},
+    },
+    tokio::time,
 };
 
 const SLOTS: usize = 8;
@@ -46,9 +52,6 @@
     let platform = Platform::spawn(&site, 0, UPSTREAMS, &cluster.deployment.api())
         .await
         .unwrap();
-    for upstream in &platform.upstreams {
-        upstream.record();
-    }
     let accounts: Map<_, _> = ACCOUNTS
         .iter()
         .map(|(name, _)| ((*name).to_owned(), json!({ "places": ["north"] })))
@@ -69,9 +72,37 @@
             })
             .await;
     }
+    for index in 0..cluster.deployment.len() {
+        warm(&cluster, index).await;
+    }
+    for upstream in &platform.upstreams {
+        upstream.record();
+    }
     (cluster, platform)
 }
 
+/// Waits until an instance has shares: a new leader of the region's group grants none for one lease.
+async fn warm(cluster: &Cluster, index: usize) {
+    let headers = [
+        ("x-client-account", ACCOUNTS[0].0),
+        ("x-service", "fit"),
+        ("x-deadline-ms", "2000"),
+    ];
+    let address = cluster.deployment.requests()[index];
+    let start = Instant::now();
+    while start.elapsed() < LIMIT {
+        let answer = cluster
+            .client
+            .call(address, Method::PUT, "/warm", &headers, "")
+            .await;
+        if answer.is_ok_and(|answer| answer.status == 200) {
+            return;
+        }
+        time::sleep(Duration::from_millis(100)).await;
+    }
+    panic!("a{} served nothing within {LIMIT:?}", index + 1);
+}
+
 /// What callers saw of the requests that arrived in a time of the run.
 struct Seen {
     outcomes: BTreeMap<String, usize>,
@@ -175,6 +206,7 @@
     let peaks: Vec<u16> = platform.upstreams.iter().map(|u| u.peak()).collect();
     println!("peaks {peaks:?}");
     let violations = check(&history);
+    dump(&load, &history);
     assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
     assert!(peaks.iter().all(|peak| usize::from(*peak) <= SLOTS));
     recovered(&load, &history, crest, seed);
@@ -298,6 +330,7 @@
         all.outcomes
     );
     let violations = check(&history);
+    dump(&load, &history);
     assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
     for (instance, ready) in restarted {
         let served = history.tries.iter().any(|t| {
@@ -307,3 +340,39 @@
         assert!(served, "a{} served nothing after its restart", instance + 1);
     }
 }
+
+fn dump(load: &Load, history: &History) {
+    use std::io::Write;
+    let mut file =
+        std::fs::File::create(format!("/tmp/tv/crest-dump-{}.txt", history.drains.len())).unwrap();
+    for t in &history.tries {
+        let p = &load.plan[t.request as usize];
+        writeln!(
+            file,
+            "try {}.{} a{} {} short={} keyed={} svc={} sent={} ended={} {:?}",
+            t.request,
+            t.number,
+            t.instance + 1,
+            p.account,
+            p.short,
+            t.keyed,
+            p.service.as_millis(),
+            t.sent.as_millis(),
+            t.ended.as_millis(),
+            t.outcome
+        )
+        .unwrap();
+    }
+    for r in &history.runs {
+        writeln!(
+            file,
+            "run {}.{} u{} {} {}",
+            r.request,
+            r.number,
+            r.upstream,
+            r.began.as_millis(),
+            r.ended.unwrap_or_default().as_millis()
+        )
+        .unwrap();
+    }
+}
--- a/crates/daemon/tests/processes/main.rs
+++ b/crates/daemon/tests/processes/main.rs
@@ -10,3 +10,4 @@
 mod planted;
 mod replace;
 mod settings;
+mod withdraw;
