--- a/crates/fake/src/upstream/exchange.rs
+++ b/crates/fake/src/upstream/exchange.rs
@@ -1,5 +1,5 @@
 use {
-    super::Behaviour,
+    super::{Behaviour, upstream::Busy},
     std::{io, time::Duration},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
@@ -118,10 +118,14 @@
 }
 
 /// Answers a request. Returns whether the connection stays open.
+///
+/// The work is over, and `busy` taken, before the end of an echoed answer is written: the caller may use
+/// the slot again as soon as it has read that.
 pub(super) async fn answer(
     stream: &mut TcpStream,
     received: &Received,
     behaviour: &Behaviour,
+    busy: &mut Option<Busy>,
 ) -> io::Result<bool> {
     let mark = received
         .header("x-attempt-id")
@@ -147,6 +151,7 @@
     match behaviour {
         Behaviour::Answer(delay) => {
             pause(*delay).await;
+            drop(busy.take());
             stream.write_all(&whole(200, &mark)).await?;
             Ok(true)
         }
@@ -183,12 +188,14 @@
                 chunk.extend(b"\r\n");
                 stream.write_all(&chunk).await?;
             }
+            drop(busy.take());
             stream.write_all(b"0\r\n\r\n").await?;
             Ok(true)
         }
         Behaviour::EchoPart(delay) => {
             pause(*delay).await;
             let bytes = whole(200, &mark);
+            drop(busy.take());
             stream.write_all(&bytes[..bytes.len() - length / 2]).await?;
             Ok(false)
         }
--- a/crates/fake/src/upstream/upstream.rs
+++ b/crates/fake/src/upstream/upstream.rs
@@ -175,7 +175,7 @@
 }
 
 /// Counts a request as in progress until dropped.
-struct Busy {
+pub(super) struct Busy {
     inner: Arc<Mutex<Inner>>,
     /// Its place among the recorded requests.
     run: Option<usize>,
@@ -199,13 +199,14 @@
     let mut buffer = Vec::new();
     while let Ok(Some(received)) = exchange::read(&mut stream, &mut buffer).await {
         let (behaviour, busy) = begin(&inner, &received);
+        let mut busy = Some(busy);
         let open = tokio::select! {
-            open = exchange::answer(&mut stream, &received, &behaviour) => open,
-            () = async { drop(silent.wait_for(|silent| *silent).await) } => Ok(false),
+            open = exchange::answer(&mut stream, &received, &behaviour, &mut busy) => open,
+            () = async { drop(silent.wait_for(|silent| *silent).await) } => {
+                exchange::until_closed(&mut stream).await;
+                Ok(false)
+            }
         };
-        if *silent.borrow() {
-            exchange::until_closed(&mut stream).await;
-        }
         drop(busy);
         if !matches!(open, Ok(true)) {
             return;
