Hand shares back when a shut-down instance has no more requests

Nothing called Holder::release, so the share of an instance stayed charged after a graceful shutdown, until the longest deadline (60 s) had passed or the upstream reported fewer busy slots, which it does not under load. While draining without requests the router now gives its shares back with its next report. The new process test saw at most 7 of 8 slots in use within 8 s of the shutdown before; it passes now.

--- a/crates/daemon/tests/processes/main.rs
+++ b/crates/daemon/tests/processes/main.rs
@@ -3,6 +3,7 @@
 mod cluster;
 mod crest;
 mod gangs;
+mod handback;
 mod history;
 mod kill;
 mod load;
--- a/crates/route/src/router/demand.rs
+++ b/crates/route/src/router/demand.rs
@@ -34,6 +34,12 @@
     pub fn report(&mut self, region: &str, now: Instant) -> Report {
         self.refresh(now);
         self.update_demand(now);
+        if self.draining && self.flights.is_empty() {
+            // No request follows. Without this the shares stay charged past the end of the process until
+            // the longest deadline has passed.
+            self.demand.clear();
+            self.holder(region, now).release();
+        }
         let (own, other) = if self.draining { (0.0, 0.0) } else { IDLE_WANT };
         let home = self.settings.site.region.clone();
         let mut wants: Vec<f64> = self
