--- a/crates/daemon/tests/processes/crest.rs
+++ b/crates/daemon/tests/processes/crest.rs
@@ -127,6 +127,8 @@
             Outcome::Whole { status, .. } => format!("whole {status}"),
             Outcome::Broken(_) if request.form == Form::Part => "broken by the upstream".into(),
             Outcome::Broken(_) => "broken".into(),
+            Outcome::NotRun(status) if request.short => format!("not run {status}, short"),
+            Outcome::NotRun(status) => format!("not run {status}, batch"),
             other => format!("{other:?}"),
         };
         *seen.outcomes.entry(name).or_default() += 1;
@@ -149,7 +151,8 @@
 
 /// Guards against every broken promise of the request path at once: a crest of three times the capacity
 /// while one instance dies, one is paused, one upstream departs and one goes silent. `CREST_STOP_S` sets the
-/// length of the pause and `CREST_SEED` the arrivals.
+/// length of the pause and `CREST_SEED` the arrivals; the long run is
+/// `CREST_STOP_S=30 cargo test -p daemon --test processes -- a_crest --nocapture`.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_crest_with_failures_breaks_no_promise() {
     let seed = variable("CREST_SEED", SEED);
