--- a/crates/daemon/tests/exchange.rs
+++ b/crates/daemon/tests/exchange.rs
@@ -2,7 +2,7 @@
 
 use {
     control::instance::Exchange as _,
-    daemon::requests::{Exchange, Slot},
+    daemon::requests::{Exchange, Levels, Slot},
     entry::Desk,
     indexmap::IndexMap,
     model::{
@@ -17,6 +17,8 @@
     },
 };
 
+const MAX_DEADLINE: Duration = Duration::from_secs(1);
+
 const STEP: Duration = Duration::from_millis(500);
 
 const UPSTREAMS: u64 = 20;
@@ -31,7 +33,9 @@
     fn new(id: u64, clock: &Arc<Manual>) -> Side {
         let clock: Arc<dyn Clock> = clock.clone();
         let router = Router::new(Settings::new(id, 7, site()));
-        let desk = Desk::new(router, clock, Arc::new(Slot::default()));
+        let slot = Slot::default();
+        let desk = Desk::new(router, clock.clone(), Arc::new(slot.clone()));
+        let levels = Arc::new(Levels::new("a1", slot, clock));
         let region = site().region;
         let peers = [1, 2].map(|id| Peer {
             id,
@@ -39,7 +43,7 @@
         });
         desk.observe(Event::Peers(peers.to_vec()));
         let homes = IndexMap::from([(region, "north".to_owned())]);
-        let exchange = Exchange::new(desk.clone(), homes, vec![1, 2], Duration::from_secs(1));
+        let exchange = Exchange::new(desk.clone(), homes, vec![1, 2], MAX_DEADLINE, levels);
         Side { desk, exchange }
     }
 
--- a/crates/fake/src/deployment/deployment.rs
+++ b/crates/fake/src/deployment/deployment.rs
@@ -9,6 +9,7 @@
         OnceLock,
         atomic::{AtomicU16, Ordering},
     },
+    time::Duration,
 };
 
 /// Ports from which addresses are chosen.
@@ -36,6 +37,8 @@
     addresses: Vec<[SocketAddr; 3]>,
     control: usize,
     folder: PathBuf,
+    /// Time from the end of readiness to the end of the request listener.
+    pub drain_settle: Duration,
 }
 
 impl Deployment {
@@ -53,6 +56,7 @@
             addresses: triples.to_vec(),
             control,
             folder: folder.into(),
+            drain_settle: Duration::from_millis(100),
         })
     }
 
@@ -96,6 +100,7 @@
             )
         });
         let ids: Vec<String> = (1..=self.control).map(|id| id.to_string()).collect();
+        let settle = self.drain_settle.as_millis();
         let ids = ids.join(", ");
         let [api, requests, peers] = self.addresses[index];
         format!(
@@ -108,7 +113,7 @@
     "groups": {{ "config": [{ids}], "north": [{ids}] }},
     "homes": {{ "north": "north", "south": "north" }},
     {data}
-    "requests": {{ "drain_settle": "100ms" }}
+    "requests": {{ "drain_settle": "{settle}ms" }}
 }}
 "#,
             instances.join(",\n        ")
--- a/crates/fake/src/upstream/exchange.rs
+++ b/crates/fake/src/upstream/exchange.rs
@@ -1,5 +1,5 @@
 use {
-    super::Behaviour,
+    super::{Behaviour, upstream::Busy},
     std::{io, time::Duration},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
@@ -118,10 +118,14 @@
 }
 
 /// Answers a request. Returns whether the connection stays open.
+///
+/// The work is over, and `busy` taken, before the end of an echoed answer is written: the caller may use
+/// the slot again as soon as it has read that.
 pub(super) async fn answer(
     stream: &mut TcpStream,
     received: &Received,
     behaviour: &Behaviour,
+    busy: &mut Option<Busy>,
 ) -> io::Result<bool> {
     let mark = received
         .header("x-attempt-id")
@@ -147,6 +151,7 @@
     match behaviour {
         Behaviour::Answer(delay) => {
             pause(*delay).await;
+            drop(busy.take());
             stream.write_all(&whole(200, &mark)).await?;
             Ok(true)
         }
@@ -173,6 +178,27 @@
             stream.write_all(end.as_bytes()).await?;
             Ok(true)
         }
+        Behaviour::EchoChunked(delay) => {
+            pause(*delay).await;
+            let head = format!("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n{mark}\r\n");
+            stream.write_all(head.as_bytes()).await?;
+            for part in body.chunks(length.div_ceil(4).max(1)) {
+                let mut chunk = format!("{:x}\r\n", part.len()).into_bytes();
+                chunk.extend_from_slice(part);
+                chunk.extend(b"\r\n");
+                stream.write_all(&chunk).await?;
+            }
+            drop(busy.take());
+            stream.write_all(b"0\r\n\r\n").await?;
+            Ok(true)
+        }
+        Behaviour::EchoPart(delay) => {
+            pause(*delay).await;
+            let bytes = whole(200, &mark);
+            drop(busy.take());
+            stream.write_all(&bytes[..bytes.len() - length / 2]).await?;
+            Ok(false)
+        }
         Behaviour::Truncate(sent) => {
             stream.write_all(&partial(*sent)).await?;
             Ok(false)
@@ -250,7 +276,7 @@
     }
 }
 
-async fn until_closed(stream: &mut TcpStream) {
+pub(super) async fn until_closed(stream: &mut TcpStream) {
     let mut part = [0; 1024];
     while matches!(stream.read(&mut part).await, Ok(read) if read > 0) {}
 }
