Keep the slot of a request that was given up after it was sent

Change: the attempt keeps its slot until the upstream answers, closes, or 1 s after the deadline. Silent workers are looked for each 250 ms.

--- a/crates/control/src/jobs/lead.rs
+++ b/crates/control/src/jobs/lead.rs
@@ -129,6 +129,7 @@
         self.take_changes(now);
         if self.last_tick.is_none_or(|last| now - last >= TICK) {
             self.last_tick = Some(now);
+            self.find_silent(now);
             let wall_ms = self.context.clock.wall_ms();
             self.observe(Event::Tick { wall_ms }, now);
             self.resume();
@@ -155,6 +156,11 @@
         for seen in self.context.registry.take_fresh() {
             self.hear(&seen, now);
         }
+    }
+
+    /// Looks for workers that do not announce themselves any more. With 810 workers, doing so in each
+    /// round took more than half of the leader's processor time.
+    fn find_silent(&mut self, now: Instant) {
         let settings = &self.context.settings;
         for seen in self.context.registry.list() {
             let name = &seen.announcement.worker.name;
--- a/crates/entry/src/filter/forward.rs
+++ b/crates/entry/src/filter/forward.rs
@@ -1,5 +1,9 @@
 use {
-    super::{chain::Context, headers, route},
+    super::{
+        attempts::{Attempts, Mark},
+        chain::Context,
+        headers, route,
+    },
     crate::{
         body::{Fault, Outgoing, Parts, Relay, Reply},
         call::Call,
@@ -9,14 +13,10 @@
     },
     ::route::{Action, retry::Progress},
     bytes::BytesMut,
-    futures::{
-        future::{AbortHandle, Abortable, Aborted},
-        stream::{FuturesUnordered, StreamExt},
-    },
     http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header},
     hyper::body::{Body, Incoming},
     std::{
-        sync::Arc,
+        sync::{Arc, atomic::Ordering},
         time::{Duration, Instant},
     },
 };
@@ -25,16 +25,16 @@
 const ATTEMPT: &str = "x-attempt-id";
 
 /// The answer of an attempt.
-struct Answered {
-    response: Response<Incoming>,
-    lease: Lease,
-    guard: Guard,
+pub(super) struct Answered {
+    pub(super) response: Response<Incoming>,
+    pub(super) lease: Lease,
+    pub(super) guard: Guard,
     sent: Instant,
     cross_region: bool,
 }
 
 /// An attempt that failed.
-struct Failed {
+pub(super) struct Failed {
     guard: Guard,
     fault: Option<Fault>,
     forbidden: bool,
@@ -47,33 +47,14 @@
     mut ticket: Ticket,
     first: Action,
 ) -> Result<Response<Reply>, Refused> {
-    let mut running = FuturesUnordered::new();
-    let mut handles: Vec<(u64, AbortHandle)> = Vec::new();
+    let mut attempts = Attempts::new(context, call);
     let mut next = Some(first);
     loop {
-        if let Some(action) = next.take() {
-            match action {
-                Action::Send {
-                    attempt,
-                    address,
-                    site,
-                    cross_region,
-                    ..
-                } => {
-                    let (handle, registration) = AbortHandle::new_pair();
-                    handles.push((attempt, handle));
-                    let guard = Guard::new(context.deps.desk.clone(), attempt);
-                    let work = attempt_once(context, call, guard, address, site, cross_region);
-                    running.push(Abortable::new(work, registration));
-                }
-                Action::Cancel { attempt, .. } => {
-                    for (_, handle) in handles.iter().filter(|(id, _)| *id == attempt) {
-                        handle.abort();
-                    }
-                }
-                Action::Refuse { refusal, .. } => return Err(refusal.into()),
-                Action::Claim { .. } => {}
-            }
+        match next.take() {
+            Some(send @ Action::Send { .. }) => attempts.start(send),
+            Some(Action::Cancel { attempt, .. }) => attempts.cancel(attempt),
+            Some(Action::Refuse { refusal, .. }) => return Err(refusal.into()),
+            Some(Action::Claim { .. }) | None => {}
         }
         tokio::select! {
             biased;
@@ -84,19 +65,18 @@
                     "the instance is ending",
                 )),
             },
-            Some(result) = running.next(), if !running.is_empty() => match result {
-                Ok(Ok(mut answered)) => {
+            Some(result) = attempts.next(), if !attempts.is_empty() => match result {
+                Ok(mut answered) => {
                     answered.guard.answering();
-                    drop(running);
+                    drop(attempts);
                     return Ok(relay(context, call, ticket, answered).await);
                 }
-                Ok(Err(mut failed)) => {
+                Err(mut failed) => {
                     if let Some(refused) = stop(call, &failed) {
                         return Err(refused);
                     }
                     failed.guard.failed();
                 }
-                Err(Aborted) => {}
             },
         }
     }
@@ -125,13 +105,14 @@
     })
 }
 
-async fn attempt_once(
+pub(super) async fn attempt_once(
     context: &Arc<Context>,
     call: &Arc<Call>,
     guard: Guard,
     address: String,
     site: model::place::Site,
     cross_region: bool,
+    mark: &Mark,
 ) -> Result<Answered, Failed> {
     let mut guard = guard;
     let settings = &context.deps.settings;
@@ -162,6 +143,7 @@
     let mut request = request(call, &address, &id, context.deps.desk.clock().now(), body);
     let mut sent = context.deps.desk.clock().now();
     guard.sent();
+    mark.sent.store(true, Ordering::Relaxed);
     if let Some(key) = call.claim() {
         let (claims, account, key) = (
             context.deps.claims.clone(),
@@ -190,7 +172,8 @@
             }
             Err(mut error) => {
                 // A connection that closed before it took the request gives it back unsent.
-                let returned = error.take_message().filter(|_| lease.is_reused());
+                let wanted = lease.is_reused() && !mark.given_up.load(Ordering::Relaxed);
+                let returned = error.take_message().filter(|_| wanted);
                 let Some(unsent) = returned else {
                     return Err(Failed {
                         guard,
--- a/crates/entry/src/filter/mod.rs
+++ b/crates/entry/src/filter/mod.rs
@@ -1,5 +1,6 @@
 //! The filters that a request passes, in order: identify, place, claim, limit, queue, route, forward.
 
+mod attempts;
 mod chain;
 mod claim;
 mod forward;
