Ignore consensus messages with numbers that no group reaches

Change: a message whose term, index, round, offset or size is 2^62 or more is dropped before it is handled; a test gives such messages to one replica.

--- /dev/null
+++ b/crates/quorum/src/message/limit.rs
@@ -0,0 +1,69 @@
+use super::{Body, Message};
+
+/// Terms, indices and rounds grow by one at a time and never come near this number. A message with a larger
+/// one is damaged or hostile, and sums with it could overflow.
+const MAX_NUMBER: u64 = 1 << 62;
+
+impl Message {
+    /// Whether every number in the message can belong to a real group.
+    pub(crate) fn is_plausible(&self) -> bool {
+        self.term < MAX_NUMBER
+            && self
+                .body
+                .numbers()
+                .iter()
+                .all(|number| *number < MAX_NUMBER)
+    }
+}
+
+impl Body {
+    /// Every index, term, round, offset and size of the body.
+    fn numbers(&self) -> Vec<u64> {
+        match *self {
+            Body::PreVote {
+                next_term,
+                last_index,
+                last_term,
+            } => vec![next_term, last_index, last_term],
+            Body::PreVoteReply { next_term, .. } => vec![next_term],
+            Body::Vote {
+                last_index,
+                last_term,
+                ..
+            } => vec![last_index, last_term],
+            Body::Append {
+                prev_index,
+                prev_term,
+                ref entries,
+                commit,
+                round,
+            } => {
+                let own = entries.iter().flat_map(|entry| [entry.index, entry.term]);
+                own.chain([prev_index, prev_term, commit, round]).collect()
+            }
+            Body::AppendReply { matched, round } => vec![matched, round],
+            Body::AppendReject {
+                rejected,
+                hint_index,
+                hint_term,
+                round,
+            } => vec![rejected, hint_index, hint_term, round],
+            Body::Heartbeat { commit, round } => vec![commit, round],
+            Body::HeartbeatReply { round } => vec![round],
+            Body::Chunk {
+                index,
+                term,
+                total,
+                offset,
+                round,
+                ..
+            } => vec![index, term, total, offset, round],
+            Body::ChunkReply {
+                index,
+                offset,
+                round,
+            } => vec![index, offset, round],
+            Body::VoteReply { .. } | Body::TimeoutNow => Vec::new(),
+        }
+    }
+}
--- a/crates/quorum/src/node/contact.rs
+++ b/crates/quorum/src/node/contact.rs
@@ -20,6 +20,9 @@
         if message.target != self.me.incarnation && !self.has_fault(Fault::ReplacedDisk) {
             return;
         }
+        if !message.is_plausible() {
+            return;
+        }
         let from = self.identify(from, message.sender);
         match message.body {
             Body::PreVote {
--- a/crates/quorum/tests/single.rs
+++ b/crates/quorum/tests/single.rs
@@ -176,3 +176,43 @@
     assert_eq!(single.synced(3), Some(1), "the first write was overwritten");
     assert_eq!(single.synced(3), Some(3));
 }
+
+/// Guards against a message with a number near the largest one, which overflowed a sum and ended the replica's
+/// thread, and against one that raises the term so far that no election can raise it again.
+#[test]
+fn ignores_numbers_that_no_group_reaches() {
+    let mut single = Single::new(&[]);
+    let append = |prev_index, prev_term, round| Body::Append {
+        prev_index,
+        prev_term,
+        entries: vec![Entry {
+            index: u64::MAX,
+            term: 1,
+            payload: quorum::Payload::Empty,
+        }],
+        commit: 0,
+        round,
+    };
+    for body in [
+        append(u64::MAX, 1, 1),
+        append(0, u64::MAX, 1),
+        append(0, 0, u64::MAX),
+        Body::Heartbeat {
+            commit: u64::MAX,
+            round: 1,
+        },
+        Body::ChunkReply {
+            index: 1,
+            offset: u64::MAX,
+            round: 1,
+        },
+    ] {
+        assert_eq!(single.receive(2, 1, body), []);
+    }
+    let heartbeat = Body::Heartbeat {
+        commit: 0,
+        round: 1,
+    };
+    assert_eq!(single.receive(2, u64::MAX, heartbeat), []);
+    assert_eq!(single.node.term(), 0);
+}
