--- a/crates/control/src/group/mod.rs
+++ b/crates/control/src/group/mod.rs
@@ -1,16 +1,10 @@
-//! A replica of a group: drives one consensus state machine with its disk, peers and replicated state.
+//! A replica of a group of the control plane: its replicated state and the repair of its disk.
 
-mod codec;
-mod driver;
-mod error;
 mod group;
-mod input;
 mod recover;
-mod view;
 
 pub use {
-    error::Error,
     group::{Group, Setup},
     recover::{Held, Recovery},
-    view::View,
+    replica::{Error, View},
 };
--- a/crates/control/src/group/recover.rs
+++ b/crates/control/src/group/recover.rs
@@ -1,7 +1,8 @@
 use {
-    super::{Error, codec},
+    super::Error,
     crate::state::State,
     quorum::{Member, Members, Payload, Stable},
+    replica::codec,
 };
 
 /// What the disk of a replica that does not run holds of its group.
--- a/crates/control/src/instance/handler.rs
+++ b/crates/control/src/instance/handler.rs
@@ -84,7 +84,7 @@
         };
         let group = self.groups.get(group);
         if let Query::Holds = query {
-            return match encode(&group.is_some_and(Group::holds)) {
+            return match encode(&group.is_some_and(|group| group.holds())) {
                 Ok(bytes) => Verdict::Answer(bytes),
                 Err(error) => Verdict::NotRun(error.to_string()),
             };
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod group;
 pub mod instance;
 pub mod jobs;
-pub mod peers;
 pub mod state;
 pub mod worker;
+
+pub use ::peers;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -5,6 +5,7 @@
 use {
     argh::FromArgs,
     daemon::{Daemon, Error, Options, logs},
+    platform::Role,
     settings::Settings,
     std::{path::PathBuf, process::ExitCode},
     tokio::signal::unix::{SignalKind, signal},
@@ -46,12 +47,27 @@
 #[argh(subcommand)]
 enum Command {
     Recover(recover::Arguments),
+    Entry(Entry),
+    Control(Control),
 }
 
+/// Run as an entry instance on the users' platform, with its settings file.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "entry")]
+struct Entry {}
+
+/// Run as a control instance on the users' platform, with its settings file.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "control")]
+struct Control {}
+
 fn main() -> ExitCode {
     let arguments: Arguments = argh::from_env();
-    if let Some(Command::Recover(arguments)) = &arguments.command {
-        return recover(arguments);
+    match &arguments.command {
+        Some(Command::Recover(arguments)) => return recover(arguments),
+        Some(Command::Entry(_)) => return serve(Role::Entry),
+        Some(Command::Control(_)) => return serve(Role::Control),
+        None => {}
     }
     let Some(path) = &arguments.settings else {
         eprintln!("trefoilvalved: the option --settings is required; see --help");
@@ -82,6 +98,20 @@
     }
 }
 
+fn serve(role: Role) -> ExitCode {
+    match role.run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error @ platform::Error::Settings(_)) => {
+            eprintln!("trefoilvalved: {error}");
+            ExitCode::from(EXIT_SETTINGS)
+        }
+        Err(error) => {
+            eprintln!("trefoilvalved: {error}");
+            ExitCode::from(EXIT_START)
+        }
+    }
+}
+
 fn recover(arguments: &recover::Arguments) -> ExitCode {
     let settings = match Settings::open(&arguments.settings) {
         Ok(settings) => settings,
--- a/crates/disk/src/folder/folder.rs
+++ b/crates/disk/src/folder/folder.rs
@@ -48,9 +48,23 @@
         Folder::open_on(Arc::new(Real), path)
     }
 
-    /// Does the same on another file system.
+    /// Does the same with a given incarnation for a new folder.
+    ///
+    /// For the first members of a group, which must know each other's incarnations before they have talked.
+    pub fn open_as(path: impl AsRef<Path>, incarnation: u64) -> Result<Folder, Error> {
+        Folder::open_or_create(Arc::new(Real), path.as_ref(), incarnation)
+    }
+
+    /// Opens a folder on another file system.
     pub fn open_on(fs: Arc<dyn FileSystem>, path: impl AsRef<Path>) -> Result<Folder, Error> {
-        let path = path.as_ref();
+        Folder::open_or_create(fs, path.as_ref(), rand::random())
+    }
+
+    fn open_or_create(
+        fs: Arc<dyn FileSystem>,
+        path: &Path,
+        incarnation: u64,
+    ) -> Result<Folder, Error> {
         fs.create_folder(path)
             .map_err(Error::io("create the folder", path))?;
         let guard = fs
@@ -61,7 +75,7 @@
             })?;
         let (incarnation, created) = match read(&*fs, path)? {
             Some(incarnation) => (incarnation, false),
-            None => (create(&*fs, path)?, true),
+            None => (create(&*fs, path, incarnation)?, true),
         };
         Ok(Folder {
             shared: Arc::new(Shared {
@@ -126,8 +140,7 @@
     }
 }
 
-fn create(fs: &dyn FileSystem, folder: &Path) -> Result<u64, Error> {
-    let incarnation = rand::random();
+fn create(fs: &dyn FileSystem, folder: &Path, incarnation: u64) -> Result<u64, Error> {
     let header = Header {
         kind: Kind::Incarnation,
         incarnation,
--- /dev/null
+++ b/crates/dispatch/src/control/control.rs
@@ -0,0 +1,162 @@
+use {
+    super::{Error, Replica, Setup, greet, handler::Handler},
+    crate::{
+        lead::{Input, Lead},
+        time::Agreed,
+    },
+    gate::{Gate, Outcome, call::Request},
+    indexmap::IndexMap,
+    model::clock::Clock,
+    peers::Peers,
+    plan::engine::Event,
+    roster::{Contact, Directory},
+    std::{
+        net::SocketAddr,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::Duration,
+    },
+    tokio::sync::mpsc,
+    wire::Verdict,
+    work::id,
+};
+
+/// Wait for the answer of another instance. A commit across regions on a slow disk takes a few hundred milliseconds.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1200);
+
+/// Time for a new leader to take over before this instance ends.
+const HANDOVER: Duration = Duration::from_millis(400);
+
+/// A running control instance.
+#[derive(Clone)]
+pub struct Control {
+    pub(super) shared: Arc<Shared>,
+}
+
+pub(super) struct Shared {
+    pub id: u64,
+    pub replica: Replica,
+    pub gate: Gate,
+    pub clock: Arc<dyn Clock>,
+    pub agreed: Arc<Mutex<Agreed>>,
+    pub contacts: Mutex<IndexMap<u64, Contact>>,
+    pub roster: roster::Settings,
+    /// Highest sequence of the heartbeats of each upstream's life.
+    pub sequences: Mutex<IndexMap<id::Upstream, (u64, u64)>>,
+    pub inputs: mpsc::UnboundedSender<Input>,
+}
+
+impl Control {
+    /// Starts the instance. Must be called on a tokio runtime.
+    pub fn spawn(setup: Setup) -> Result<Control, Error> {
+        let id = roster::id(setup.address);
+        let peers = Peers::bind_with(
+            id,
+            SocketAddr::V4(setup.address),
+            Arc::new(Directory),
+            CALL_TIMEOUT,
+        )?;
+        let seeds: Vec<u64> = setup.seeds.iter().map(|seed| roster::id(*seed)).collect();
+        let first = match setup.first_start {
+            true => seeds.clone(),
+            false => Vec::new(),
+        };
+        let clock = setup.clock.clone();
+        let replica = Replica::new(id, setup.folder, first, peers.clone(), clock.clone());
+        let gate = Gate::open(peers.clone(), clock.clone());
+        gate.targets().set_seeds(seeds);
+        let agreed = Arc::new(Mutex::new(Agreed::new(clock.now())));
+        let (inputs, events) = mpsc::unbounded_channel();
+        let control = Control {
+            shared: Arc::new(Shared {
+                id,
+                replica: replica.clone(),
+                gate,
+                clock: clock.clone(),
+                agreed: agreed.clone(),
+                contacts: Mutex::default(),
+                roster: roster::Settings::tolerating(setup.tolerated_losses),
+                sequences: Mutex::default(),
+                inputs: inputs.clone(),
+            }),
+        };
+        peers.serve(Arc::new(Handler(control.clone())));
+        let lead = Lead {
+            replica,
+            orders: setup.orders,
+            clock,
+            agreed,
+            settings: setup.plan,
+            inputs,
+        };
+        tokio::spawn(lead.run(events));
+        tokio::spawn(greet::run(control.clone()));
+        Ok(control)
+    }
+
+    /// Answers a call if this instance leads, otherwise hands it to the leader.
+    pub async fn call(&self, request: Request, patience: Duration) -> Outcome {
+        if self.shared.replica.leading_term().is_some() {
+            match self.answer(request.clone()).await {
+                Verdict::Answer(bytes) => {
+                    return match postcard::from_bytes(&bytes) {
+                        Ok(reply) => Outcome::Answered(reply),
+                        Err(error) => Outcome::Unknown(error.to_string()),
+                    };
+                }
+                Verdict::Unknown(reason) => return Outcome::Unknown(reason),
+                Verdict::NotRun(reason) => return Outcome::NotRun(reason),
+                Verdict::NotLeader(_) => {}
+            }
+        }
+        let leader = self.shared.replica.leader();
+        if let Some(leader) = leader.filter(|leader| *leader != self.shared.id) {
+            self.shared.gate.targets().set_leader(Some(leader));
+        }
+        self.shared.gate.call(&request, patience).await
+    }
+
+    /// The leader's id, if known.
+    pub fn leader(&self) -> Option<u64> {
+        self.shared.replica.leader()
+    }
+
+    /// Replaces the other instances that the settings name.
+    pub fn set_seeds(&self, seeds: impl IntoIterator<Item = std::net::SocketAddrV4>) {
+        let seeds = seeds.into_iter().map(roster::id).collect();
+        self.shared.gate.targets().set_seeds(seeds);
+    }
+
+    /// The replica of this instance.
+    pub fn replica(&self) -> &Replica {
+        &self.shared.replica
+    }
+
+    /// Hands over leadership and stops the replica.
+    pub async fn shutdown(&self) {
+        if self.shared.replica.leading_term().is_some() {
+            self.shared.replica.resign();
+            tokio::time::sleep(HANDOVER).await;
+        }
+        self.shared.replica.stop();
+    }
+
+    /// Lets the engine look at the book at once.
+    pub(super) fn wake(&self, event: Event) {
+        drop(self.shared.inputs.send((0, event)));
+    }
+
+    pub(super) fn contacts(&self) -> MutexGuard<'_, IndexMap<u64, Contact>> {
+        let contacts = self.shared.contacts.lock();
+        contacts.unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(super) fn agreed(&self) -> MutexGuard<'_, Agreed> {
+        let agreed = self.shared.agreed.lock();
+        agreed.unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The agreed time of day in milliseconds since the Unix epoch.
+    pub(super) fn time_ms(&self) -> u64 {
+        self.agreed().now_ms(self.shared.clock.now())
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/control/replica.rs
@@ -0,0 +1,248 @@
+use {
+    crate::ledger::Ledger,
+    model::clock::Clock,
+    peers::Peers,
+    quorum::{Change, Member, Members, Settings},
+    replica::{Group, View},
+    std::{
+        fs, io,
+        path::{Path, PathBuf},
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::Duration,
+    },
+    wire::Verdict,
+    work::book::{Answer, Command},
+};
+
+/// Name of the control group.
+pub(crate) const GROUP: &str = "work";
+
+/// Incarnation of the disks of a group's first members. It must be known to all of them before they have talked; a
+/// disk that replaces one of them draws a random one.
+const FIRST_INCARNATION: u64 = 1;
+
+/// Shortest time without contact before an election. Longer than a few lost packets between regions.
+const ELECTION_MIN: Duration = Duration::from_millis(900);
+
+/// Longest time without contact before an election.
+const ELECTION_MAX: Duration = Duration::from_millis(1500);
+
+/// The replica of this instance, which is opened again after a failure of its disk.
+#[derive(Clone)]
+pub struct Replica {
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    id: u64,
+    folder: PathBuf,
+    /// Ids of the first members, on the first start of the deployment.
+    first: Vec<u64>,
+    peers: Peers,
+    clock: Arc<dyn Clock>,
+    opened: Mutex<Option<Opened>>,
+}
+
+#[derive(Clone)]
+struct Opened {
+    group: Group,
+    ledger: Arc<Ledger>,
+    /// Keeps the folder locked.
+    _folder: Arc<disk::Folder>,
+}
+
+impl Replica {
+    pub(super) fn new(
+        id: u64,
+        folder: PathBuf,
+        first: Vec<u64>,
+        peers: Peers,
+        clock: Arc<dyn Clock>,
+    ) -> Replica {
+        Replica {
+            shared: Arc::new(Shared {
+                id,
+                folder,
+                first,
+                peers,
+                clock,
+                opened: Mutex::default(),
+            }),
+        }
+    }
+
+    /// Opens the disk if it is not open, or if the replica on it has stopped.
+    pub(super) fn ensure_open(&self) {
+        let stopped = match self.opened().as_ref() {
+            Some(opened) => opened.group.has_ended(),
+            None => true,
+        };
+        if !stopped {
+            return;
+        }
+        *self.opened() = None;
+        match self.open() {
+            Ok(opened) => {
+                log::info!(
+                    "event=replica_opened incarnation={} holds={}",
+                    opened.group.member().incarnation,
+                    opened.group.holds()
+                );
+                *self.opened() = Some(opened);
+            }
+            Err(error) if is_damage(&error) => {
+                log::error!(
+                    "event=disk_damaged folder={} error=\"{error}\" action=rejoin_empty",
+                    self.shared.folder.display()
+                );
+                if let Err(error) = clear(&self.shared.folder) {
+                    log::error!("event=disk_clear_failed error=\"{error}\"");
+                }
+            }
+            Err(error) => log::error!(
+                "event=replica_open_failed folder={} error=\"{error}\"",
+                self.shared.folder.display()
+            ),
+        }
+    }
+
+    fn open(&self) -> Result<Opened, replica::Error> {
+        let shared = &self.shared;
+        let is_first = shared.first.contains(&shared.id);
+        let folder = match is_first {
+            true => disk::Folder::open_as(&shared.folder, FIRST_INCARNATION)?,
+            false => disk::Folder::open(&shared.folder)?,
+        };
+        let members = Members::new(shared.first.iter().map(|id| Member {
+            id: *id,
+            incarnation: FIRST_INCARNATION,
+        }));
+        let ledger = Arc::new(Ledger::default());
+        let setup = replica::Setup {
+            name: GROUP.to_owned(),
+            id: shared.id,
+            settings: Settings {
+                election_min: ELECTION_MIN,
+                election_max: ELECTION_MAX,
+                ..Settings::default()
+            },
+            clock: shared.clock.clone(),
+            post: Arc::new(shared.peers.clone()),
+            machine: ledger.clone(),
+            first: (is_first && folder.incarnation() == FIRST_INCARNATION).then_some(members),
+        };
+        let group = Group::spawn(&folder, setup)?;
+        Ok(Opened {
+            group,
+            ledger,
+            _folder: Arc::new(folder),
+        })
+    }
+
+    fn opened(&self) -> MutexGuard<'_, Option<Opened>> {
+        let opened = self.shared.opened.lock();
+        opened.unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn group(&self) -> Option<Group> {
+        self.opened().as_ref().map(|opened| opened.group.clone())
+    }
+
+    /// The book, unless the disk cannot be opened.
+    pub fn ledger(&self) -> Option<Arc<Ledger>> {
+        self.opened().as_ref().map(|opened| opened.ledger.clone())
+    }
+
+    /// Id and disk of this instance.
+    pub fn member(&self) -> Option<Member> {
+        self.group().map(|group| group.member())
+    }
+
+    /// What the replica knew after its last step.
+    pub fn view(&self) -> View {
+        self.group().map(|group| group.view()).unwrap_or_default()
+    }
+
+    /// The term in which this instance leads now; none if it does not.
+    pub fn leading_term(&self) -> Option<u64> {
+        let group = self.group()?;
+        let term = group.view().term;
+        group.leads().then_some(term)
+    }
+
+    /// The leader, if known.
+    pub fn leader(&self) -> Option<u64> {
+        self.view().leader
+    }
+
+    /// Commits a command.
+    pub async fn propose(&self, command: &Command) -> Result<Answer, Verdict> {
+        let bytes = postcard::to_stdvec(command)
+            .map_err(|error| Verdict::NotRun(format!("cannot encode the command: {error}")))?;
+        let Some(group) = self.group() else {
+            return Err(Verdict::NotLeader(None));
+        };
+        match group.propose(bytes).await {
+            Verdict::Answer(bytes) => postcard::from_bytes(&bytes)
+                .map_err(|error| Verdict::Unknown(format!("cannot decode the answer: {error}"))),
+            other => Err(other),
+        }
+    }
+
+    /// Waits until the book may be read as current.
+    pub async fn read(&self) -> Result<(), Verdict> {
+        match self.group() {
+            Some(group) => group.read().await,
+            None => Err(Verdict::NotLeader(None)),
+        }
+    }
+
+    pub(super) fn deliver(&self, sender: u64, messages: Vec<Vec<u8>>) {
+        if let Some(group) = self.group() {
+            group.deliver(sender, messages);
+        }
+    }
+
+    pub(super) fn change(&self, change: Change) {
+        if let Some(group) = self.group() {
+            group.change(change);
+        }
+    }
+
+    pub(super) fn resign(&self) {
+        if let Some(group) = self.group() {
+            group.resign();
+        }
+    }
+
+    pub(super) fn stop(&self) {
+        if let Some(group) = self.group() {
+            group.stop();
+        }
+    }
+}
+
+/// Whether the disk holds something that can never be read again. The other members still hold it, so this one
+/// comes back empty under a new identity.
+fn is_damage(error: &replica::Error) -> bool {
+    matches!(
+        error,
+        replica::Error::Disk(disk::Error::Damaged { .. })
+            | replica::Error::Codec(_)
+            | replica::Error::State(_)
+    )
+}
+
+/// Removes everything from the data folder.
+fn clear(folder: &Path) -> io::Result<()> {
+    for entry in fs::read_dir(folder)? {
+        let path = entry?.path();
+        if path.is_dir() {
+            clear(&path)?;
+            fs::remove_dir(&path)?;
+        } else {
+            fs::remove_file(&path)?;
+        }
+    }
+    fs::File::open(folder)?.sync_all()
+}
--- /dev/null
+++ b/crates/dispatch/src/lead/mod.rs
@@ -0,0 +1,7 @@
+//! The controller of runs: performs the effects of the engine while this instance leads.
+
+mod lead;
+mod orders;
+
+pub(crate) use lead::Input;
+pub use {lead::Lead, orders::Orders};
--- /dev/null
+++ b/crates/dispatch/src/lead/orders.rs
@@ -0,0 +1,41 @@
+use {
+    futures::future::BoxFuture,
+    plan::engine::{Failure, Held, Hold, Start, Stop, Target},
+    work::id,
+};
+
+/// Orders to upstreams, and questions to the policy service.
+///
+/// Each call ends within a bounded time. `token` is the fencing token of the leader.
+pub trait Orders: Send + Sync {
+    /// Extends the lease of all runs and lists them.
+    fn hold(
+        &self,
+        target: Target,
+        token: u64,
+        order: Hold,
+    ) -> BoxFuture<'static, Result<Held, Failure>>;
+
+    /// Starts a task; returns the upstream's clock in milliseconds, if it told.
+    fn start(
+        &self,
+        target: Target,
+        token: u64,
+        order: Start,
+    ) -> BoxFuture<'static, Result<Option<u64>, Failure>>;
+
+    /// Stops a run; returns the upstream's clock in milliseconds, if it told.
+    fn stop(
+        &self,
+        target: Target,
+        token: u64,
+        order: Stop,
+    ) -> BoxFuture<'static, Result<Option<u64>, Failure>>;
+
+    /// Asks which upstreams may run a step; returns those with their tickets.
+    fn advise(
+        &self,
+        step: id::Task,
+        upstreams: Vec<id::Upstream>,
+    ) -> BoxFuture<'static, Result<Vec<(id::Upstream, String)>, Failure>>;
+}
--- /dev/null
+++ b/crates/dispatch/src/ledger/ledger.rs
@@ -0,0 +1,38 @@
+use {
+    replica::Machine,
+    std::sync::{Mutex, MutexGuard, PoisonError},
+    work::book::{Book, Command},
+};
+
+/// The book behind its lock.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    book: Mutex<Book>,
+}
+
+impl Ledger {
+    /// The book as of the last applied command.
+    pub fn book(&self) -> MutexGuard<'_, Book> {
+        self.book.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Machine for Ledger {
+    fn apply(&self, command: &[u8], awaited: bool) -> Result<Vec<u8>, String> {
+        let command: Command = postcard::from_bytes(command).map_err(|error| error.to_string())?;
+        let answer = self.book().apply(command);
+        if !awaited {
+            return Ok(Vec::new());
+        }
+        postcard::to_stdvec(&answer).map_err(|error| error.to_string())
+    }
+
+    fn save(&self) -> Result<Vec<u8>, String> {
+        self.book().save().map_err(|error| error.to_string())
+    }
+
+    fn restore(&self, bytes: &[u8]) -> Result<(), String> {
+        *self.book() = Book::load(bytes).map_err(|error| error.to_string())?;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/ledger/mod.rs
@@ -0,0 +1,5 @@
+//! The replicated book of an instance.
+
+mod ledger;
+
+pub use ledger::Ledger;
--- /dev/null
+++ b/crates/dispatch/src/time/mod.rs
@@ -0,0 +1,5 @@
+//! The time of day that the group agrees on.
+
+mod agreed;
+
+pub use agreed::Agreed;
--- /dev/null
+++ b/crates/gate/src/call/mod.rs
@@ -0,0 +1,12 @@
+//! What instances ask of the leader.
+
+mod reply;
+mod request;
+
+pub use {
+    reply::{Reply, Shown},
+    request::{Action, Caller, Request},
+};
+
+/// Name under which the calls travel between instances.
+pub const SERVICE: &str = "work";
--- /dev/null
+++ b/crates/gate/src/lib.rs
@@ -0,0 +1,6 @@
+//! Calls to the leader of the control group, from any instance.
+
+pub mod call;
+pub mod gate;
+
+pub use gate::{Gate, Outcome};
--- /dev/null
+++ b/crates/logs/src/console.rs
@@ -0,0 +1,112 @@
+use {
+    super::Budget,
+    log::Record,
+    log4rs::{
+        append::Append,
+        encode::{Encode, Write as Encoded, writer::simple::SimpleWriter},
+    },
+    std::{
+        fmt,
+        io::{self, Write},
+        sync::{
+            Mutex, PoisonError,
+            atomic::{AtomicU64, Ordering},
+            mpsc,
+        },
+        thread,
+        time::Instant,
+    },
+};
+
+/// Lines that wait for the reader of standard output beyond which new ones are left out: about 1 MB.
+const MAX_WAITING: usize = 4096;
+
+/// Lines a second beyond which lines below a warning are left out. The busiest minute of a day that was measured
+/// wrote about 150 a second on the leader.
+const LINES_PER_SECOND: u32 = 400;
+
+/// Lines above that rate that a burst may write.
+const BURST: u32 = 2000;
+
+/// Bytes that are written to standard output in one call, at most.
+const MAX_WRITE_BYTES: usize = 64 * 1024;
+
+/// Writes lines from a thread of its own, so that a reader that stops reading blocks nothing else.
+#[derive(Debug)]
+pub struct Console {
+    encoder: Box<dyn Encode>,
+    lines: mpsc::SyncSender<Vec<u8>>,
+    budget: Mutex<Budget>,
+    left_out: AtomicU64,
+}
+
+impl Console {
+    /// Starts the thread that writes to `output`.
+    pub fn spawn(encoder: Box<dyn Encode>, output: Box<dyn Write + Send>) -> io::Result<Console> {
+        let (lines, receiver) = mpsc::sync_channel(MAX_WAITING);
+        thread::Builder::new()
+            .name("logs".into())
+            .spawn(move || write(&receiver, output))?;
+        Ok(Console {
+            encoder,
+            lines,
+            budget: Mutex::new(Budget::new(LINES_PER_SECOND, BURST, Instant::now())),
+            left_out: AtomicU64::new(0),
+        })
+    }
+
+    fn is_admitted(&self, record: &Record<'_>) -> bool {
+        let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
+        budget.take(Instant::now()) || record.level() <= log::Level::Warn
+    }
+
+    fn send(&self, line: Vec<u8>) {
+        if self.lines.try_send(line).is_err() {
+            self.left_out.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+impl Append for Console {
+    fn append(&self, record: &Record<'_>) -> anyhow::Result<()> {
+        if !self.is_admitted(record) {
+            self.left_out.fetch_add(1, Ordering::Relaxed);
+            return Ok(());
+        }
+        let left_out = self.left_out.swap(0, Ordering::Relaxed);
+        if left_out > 0 {
+            self.send(format!("event=log_lines_left_out count={left_out}\n").into_bytes());
+        }
+        let mut line = Vec::with_capacity(256);
+        self.encoder
+            .encode(&mut SimpleWriter(&mut line) as &mut dyn Encoded, record)?;
+        self.send(line);
+        Ok(())
+    }
+
+    fn flush(&self) {}
+}
+
+impl fmt::Display for Console {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("console")
+    }
+}
+
+fn write(lines: &mpsc::Receiver<Vec<u8>>, mut output: Box<dyn Write + Send>) {
+    while let Ok(mut bytes) = lines.recv() {
+        while bytes.len() < MAX_WRITE_BYTES
+            && let Ok(more) = lines.try_recv()
+        {
+            bytes.extend_from_slice(&more);
+        }
+        // Without standard output there is nowhere to tell of it.
+        if output
+            .write_all(&bytes)
+            .and_then(|()| output.flush())
+            .is_err()
+        {
+            return;
+        }
+    }
+}
--- a/crates/model/src/clock/mod.rs
+++ b/crates/model/src/clock/mod.rs
@@ -1,7 +1,8 @@
 //! Time, passed in as an interface.
 
+mod boot;
 mod clock;
 mod manual;
 mod system;
 
-pub use {clock::Clock, manual::Manual, system::System};
+pub use {boot::Boot, clock::Clock, manual::Manual, system::System};
--- a/crates/control/src/peers/mod.rs
+++ b/crates/peers/src/lib.rs
@@ -5,10 +5,12 @@
 mod handler;
 mod link;
 mod peers;
+mod resolver;
 mod server;
 
 pub use {
     error::Error,
     handler::{Handler, Reply},
     peers::Peers,
+    resolver::Resolver,
 };
--- a/crates/control/src/peers/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -3,13 +3,14 @@
         Error, Handler,
         call::{Answer, Call},
         link::Link,
+        resolver::{Nobody, Resolver},
         server,
     },
     indexmap::IndexMap,
     std::{
         io,
         net::{SocketAddr, TcpListener},
-        sync::{Arc, OnceLock},
+        sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError},
         thread,
         time::Duration,
     },
@@ -23,10 +24,15 @@
 /// Calls waiting for one instance beyond which new ones fail at once.
 const MAX_QUEUED_CALLS: usize = 1024;
 
+/// Where the calls of a link go, and the calls.
+type Queue = (SocketAddr, mpsc::Receiver<Call>);
+
 /// The running connections to and from the other instances.
 #[derive(Clone)]
 pub struct Peers {
-    calls: Arc<IndexMap<u64, mpsc::Sender<Call>>>,
+    calls: Arc<Mutex<IndexMap<u64, mpsc::Sender<Call>>>>,
+    opened: mpsc::UnboundedSender<Queue>,
+    resolver: Arc<dyn Resolver>,
     handler: Arc<OnceLock<Arc<dyn Handler>>>,
     address: SocketAddr,
 }
@@ -41,17 +47,26 @@
         address: SocketAddr,
         addresses: impl IntoIterator<Item = (u64, SocketAddr)>,
         timeout: Duration,
+    ) -> Result<Peers, Error> {
+        let peers = Peers::bind_with(own_id, address, Arc::new(Nobody), timeout)?;
+        for (id, address) in addresses {
+            peers.open_link(id, address);
+        }
+        Ok(peers)
+    }
+
+    /// Does the same for a deployment whose instances are not known at the start; `resolver` finds the address
+    /// of an instance when it is first called.
+    pub fn bind_with(
+        own_id: u64,
+        address: SocketAddr,
+        resolver: Arc<dyn Resolver>,
+        timeout: Duration,
     ) -> Result<Peers, Error> {
         let listener = TcpListener::bind(address).map_err(Error::Bind)?;
         listener.set_nonblocking(true).map_err(Error::Bind)?;
         let address = listener.local_addr().map_err(Error::Bind)?;
-        let mut calls = IndexMap::new();
-        let mut queues = Vec::new();
-        for (id, address) in addresses {
-            let (sender, receiver) = mpsc::channel(MAX_QUEUED_CALLS);
-            calls.insert(id, sender);
-            queues.push((address, receiver));
-        }
+        let (opened, queues) = mpsc::unbounded_channel();
         let handler = Arc::new(OnceLock::new());
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
@@ -69,7 +84,9 @@
             })
             .map_err(Error::Bind)?;
         Ok(Peers {
-            calls: Arc::new(calls),
+            calls: Arc::default(),
+            opened,
+            resolver,
             handler,
             address,
         })
@@ -87,7 +104,7 @@
 
     /// Sends consensus messages without waiting; they may be lost.
     pub fn deliver(&self, to: u64, group: &str, messages: Vec<Vec<u8>>) {
-        if let Some(calls) = self.calls.get(&to) {
+        if let Some(calls) = self.link(to) {
             drop(calls.try_send(Call::Deliver {
                 group: group.to_owned(),
                 messages,
@@ -144,8 +161,33 @@
             .await
     }
 
+    /// The queue of an instance; opens its link if the resolver knows the instance.
+    fn link(&self, to: u64) -> Option<mpsc::Sender<Call>> {
+        let known = self.links().get(&to).cloned();
+        known.or_else(|| {
+            self.resolver
+                .resolve(to)
+                .map(|address| self.open_link(to, address))
+        })
+    }
+
+    fn open_link(&self, id: u64, address: SocketAddr) -> mpsc::Sender<Call> {
+        let mut links = self.links();
+        let entry = links.entry(id).or_insert_with(|| {
+            let (sender, receiver) = mpsc::channel(MAX_QUEUED_CALLS);
+            // Fails only once the thread has ended; calls then find a closed queue.
+            drop(self.opened.send((address, receiver)));
+            sender
+        });
+        entry.clone()
+    }
+
+    fn links(&self) -> MutexGuard<'_, IndexMap<u64, mpsc::Sender<Call>>> {
+        self.calls.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     async fn call<T>(&self, to: u64, call: impl FnOnce(Answer<T>) -> Call) -> Result<T, Error> {
-        let calls = self.calls.get(&to).ok_or(Error::NoPeer(to))?;
+        let calls = self.link(to).ok_or(Error::NoPeer(to))?;
         let (answer, result) = oneshot::channel();
         calls
             .try_send(call(answer))
@@ -158,14 +200,16 @@
 
 async fn serve(
     listener: TcpListener,
-    queues: Vec<(SocketAddr, mpsc::Receiver<Call>)>,
+    mut queues: mpsc::UnboundedReceiver<Queue>,
     handler: Arc<OnceLock<Arc<dyn Handler>>>,
     own_id: u64,
     timeout: Duration,
 ) {
-    for (address, receiver) in queues {
-        spawn_local(Link::new(address, own_id, timeout).run(receiver));
-    }
+    spawn_local(async move {
+        while let Some((address, receiver)) = queues.recv().await {
+            spawn_local(Link::new(address, own_id, timeout).run(receiver));
+        }
+    });
     match tokio::net::TcpListener::from_std(listener) {
         Ok(listener) => server::accept(listener, handler).await,
         Err(error) => log_bind(&error),
--- /dev/null
+++ b/crates/plan/src/engine/advice.rs
@@ -0,0 +1,208 @@
+use {
+    super::{Effect, Engine, Failure},
+    crate::{order::Unit, place::Host},
+    indexmap::IndexMap,
+    std::time::{Duration, Instant},
+    work::{book::Book, id},
+};
+
+/// Upstreams asked about in one call. The objective of a job counts one call on 30 of them for each step.
+const ASK: usize = 30;
+
+/// Pause after a failed call.
+const PAUSE: Duration = Duration::from_millis(300);
+
+/// Time before the end of a ticket at which it is not used any more: the start must arrive before it.
+const TICKET_MARGIN: Duration = Duration::from_millis(300);
+
+/// Time after which an unanswered call is taken to be lost.
+const LOST_AFTER: Duration = Duration::from_secs(6);
+
+/// An answer of the policy service about one upstream.
+#[derive(Clone, Debug)]
+enum Verdict {
+    /// It may not run the step.
+    Forbidden,
+    /// It may, with a ticket that holds until the given time.
+    Allowed(String, Instant),
+}
+
+/// The call on its way.
+#[derive(Clone, Debug)]
+struct Asking {
+    call: u64,
+    step: id::Task,
+    upstreams: Vec<id::Upstream>,
+    valid: Duration,
+    sent: Instant,
+}
+
+/// What the policy service has said, by step.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Advice {
+    verdicts: IndexMap<id::Task, IndexMap<id::Upstream, Verdict>>,
+    asking: Option<Asking>,
+    not_before: Option<Instant>,
+}
+
+impl Advice {
+    /// The ticket for starting a task on an upstream.
+    pub fn ticket(&self, task: &id::Task, upstream: &id::Upstream, now: Instant) -> Option<String> {
+        let step = id::Task { index: 0, ..*task };
+        match self.verdicts.get(&step)?.get(upstream)? {
+            Verdict::Allowed(ticket, until) if now < *until => Some(ticket.clone()),
+            _ => None,
+        }
+    }
+
+    /// Forgets a ticket that an upstream did not accept.
+    pub fn reject(&mut self, task: &id::Task, upstream: &id::Upstream) {
+        let step = id::Task { index: 0, ..*task };
+        if let Some(verdicts) = self.verdicts.get_mut(&step) {
+            verdicts.shift_remove(upstream);
+        }
+    }
+
+    fn is_known(&self, step: &id::Task, upstream: &id::Upstream, now: Instant) -> bool {
+        let verdict = self
+            .verdicts
+            .get(step)
+            .and_then(|known| known.get(upstream));
+        match verdict {
+            Some(Verdict::Forbidden) => true,
+            Some(Verdict::Allowed(_, until)) => now < *until,
+            None => false,
+        }
+    }
+}
+
+/// Questions to the policy service.
+impl Engine {
+    /// Which hosts may run the unit by what is known; asks about more while too few are.
+    pub(super) fn allowed(
+        &mut self,
+        book: &Book,
+        unit: &Unit<'_>,
+        hosts: &[Host<'_>],
+    ) -> Vec<bool> {
+        if !unit.advised {
+            return vec![true; hosts.len()];
+        }
+        let now = self.now;
+        let allowed: Vec<bool> = hosts
+            .iter()
+            .map(|host| {
+                self.advice
+                    .ticket(&unit.name, &host.upstream.id, now)
+                    .is_some()
+            })
+            .collect();
+        let slots: usize = hosts
+            .iter()
+            .zip(&allowed)
+            .filter(|(host, allowed)| **allowed && host.accepts(unit))
+            .map(|(host, _)| host.upstream.capacity.times(&unit.room))
+            .sum();
+        if slots < 2 * unit.tasks.len() {
+            self.ask(book, unit, hosts);
+        }
+        allowed
+    }
+
+    fn ask(&mut self, book: &Book, unit: &Unit<'_>, hosts: &[Host<'_>]) {
+        let now = self.now;
+        if self
+            .advice
+            .asking
+            .take_if(|asking| now >= asking.sent + LOST_AFTER)
+            .is_some()
+        {
+            log::warn!("event=advice_lost step={}", unit.name);
+        }
+        if self.advice.asking.is_some() || self.advice.not_before.is_some_and(|at| now < at) {
+            return;
+        }
+        let mut unknown: Vec<&Host<'_>> = hosts
+            .iter()
+            .filter(|host| {
+                host.accepts(unit) && !self.advice.is_known(&unit.name, &host.upstream.id, now)
+            })
+            .collect();
+        let near = |host: &Host<'_>| unit.step.data_rack.as_ref() == Some(&host.upstream.rack);
+        unknown.sort_by_key(|host| (!near(host), -host.soon.accelerators));
+        let upstreams: Vec<id::Upstream> = unknown
+            .iter()
+            .take(ASK)
+            .map(|host| host.upstream.id.clone())
+            .collect();
+        if upstreams.is_empty() {
+            return;
+        }
+        let queue = book
+            .job(unit.name.job)
+            .and_then(|job| book.queue(&job.queue));
+        let valid_ms = queue
+            .and_then(|queue| queue.advice)
+            .map_or(0, |advice| advice.valid_ms);
+        let call = self.number();
+        self.advice.asking = Some(Asking {
+            call,
+            step: unit.name,
+            upstreams: upstreams.clone(),
+            valid: Duration::from_millis(valid_ms),
+            sent: now,
+        });
+        self.effects.push(Effect::Advise {
+            call,
+            step: unit.name,
+            upstreams,
+        });
+    }
+
+    /// Takes an answer of the policy service.
+    pub(super) fn advised(
+        &mut self,
+        call: u64,
+        answer: Result<Vec<(id::Upstream, String)>, Failure>,
+    ) {
+        let now = self.now;
+        let Some(asking) = self.advice.asking.take_if(|asking| asking.call == call) else {
+            return;
+        };
+        self.replan();
+        match answer {
+            Ok(rows) => {
+                log::info!(
+                    "event=advice step={} asked={} allowed={} took_ms={}",
+                    asking.step,
+                    asking.upstreams.len(),
+                    rows.len(),
+                    now.saturating_duration_since(asking.sent).as_millis()
+                );
+                let until = now + asking.valid.saturating_sub(TICKET_MARGIN);
+                let known = self.advice.verdicts.entry(asking.step).or_default();
+                for upstream in asking.upstreams {
+                    known.insert(upstream, Verdict::Forbidden);
+                }
+                for (upstream, ticket) in rows {
+                    known.insert(upstream, Verdict::Allowed(ticket, until));
+                }
+            }
+            Err(failure) => {
+                log::warn!(
+                    "event=advice_failed step={} error=\"{failure}\"",
+                    asking.step
+                );
+                self.advice.not_before = Some(now + PAUSE);
+            }
+        }
+    }
+
+    /// Forgets the answers for steps of jobs that have ended.
+    pub(super) fn forget_advice(&mut self, book: &Book) {
+        self.advice.verdicts.retain(|step, _| {
+            let job = book.job(step.job);
+            job.is_some_and(|job| job.ended_ms.is_none())
+        });
+    }
+}
--- /dev/null
+++ b/crates/plan/src/engine/engine.rs
@@ -0,0 +1,313 @@
+use {
+    super::{
+        Effect, Event, Failure, Refusal, Settings, Target,
+        advice::Advice,
+        session::Session,
+        track::{Phase, Track},
+    },
+    crate::learn::{Health, Pace},
+    indexmap::IndexMap,
+    std::time::{Duration, Instant},
+    work::{
+        book::{Book, Placement, Step, Void},
+        id,
+    },
+};
+
+/// Least time between two rounds of planning; a commit takes about as long.
+const PLAN_PAUSE: Duration = Duration::from_millis(20);
+
+/// Time between two rounds of planning without any event; waiting jobs become urgent meanwhile.
+const PLAN_IDLE: Duration = Duration::from_millis(200);
+
+/// Time between two removals of ended jobs.
+const EXPIRE_PAUSE: Duration = Duration::from_secs(5);
+
+/// Silence after which an upstream without runs is forgotten.
+const FORGET_AFTER: Duration = Duration::from_secs(60);
+
+/// Identifies a run.
+pub(super) type RunKey = (id::Task, u32);
+
+/// The decisions of one leader during one term.
+#[derive(Debug)]
+pub struct Engine {
+    pub(super) settings: Settings,
+    pub(super) sessions: IndexMap<id::Upstream, Session>,
+    pub(super) tracks: IndexMap<RunKey, Track>,
+    /// Placements that were proposed and are not known to be applied, by ticket.
+    pub(super) proposed: IndexMap<u64, Vec<Placement>>,
+    /// Voids that were proposed, so that none is proposed twice.
+    pub(super) voiding: IndexMap<u64, Vec<RunKey>>,
+    /// Highest end proposed with a ticket, by upstream.
+    pub(super) ending: IndexMap<u64, id::Upstream>,
+    pub(super) advice: Advice,
+    pub(super) pace: Pace,
+    pub(super) health: IndexMap<id::Upstream, Health>,
+    pub(super) effects: Vec<Effect>,
+    pub(super) steps: Vec<Step>,
+    /// Placements among `steps`.
+    pub(super) placements: Vec<Placement>,
+    pub(super) now: Instant,
+    /// Agreed time of day in milliseconds since the Unix epoch.
+    pub(super) time_ms: u64,
+    numbers: u64,
+    seen_changes: Option<u64>,
+    dirty: bool,
+    next_plan: Instant,
+    next_expire: Instant,
+}
+
+impl Engine {
+    /// The engine of a leader whose term begins now.
+    pub fn new(settings: Settings, now: Instant) -> Engine {
+        Engine {
+            settings,
+            sessions: IndexMap::new(),
+            tracks: IndexMap::new(),
+            proposed: IndexMap::new(),
+            voiding: IndexMap::new(),
+            ending: IndexMap::new(),
+            advice: Advice::default(),
+            pace: Pace::default(),
+            health: IndexMap::new(),
+            effects: Vec::new(),
+            steps: Vec::new(),
+            placements: Vec::new(),
+            now,
+            time_ms: 0,
+            numbers: 0,
+            seen_changes: None,
+            dirty: true,
+            next_plan: now,
+            next_expire: now + EXPIRE_PAUSE,
+        }
+    }
+
+    /// Handles events. `time_ms` is the agreed time of day.
+    pub fn step(
+        &mut self,
+        events: impl IntoIterator<Item = Event>,
+        book: &Book,
+        now: Instant,
+        time_ms: u64,
+    ) -> Vec<Effect> {
+        self.now = self.now.max(now);
+        self.time_ms = self.time_ms.max(time_ms).max(book.time_ms);
+        self.follow_book(book);
+        for event in events {
+            self.take(event, book);
+        }
+        self.watch_runs(book);
+        self.plan_if_due(book);
+        self.send_holds(book);
+        self.expire(book);
+        self.flush();
+        std::mem::take(&mut self.effects)
+    }
+
+    fn take(&mut self, event: Event, book: &Book) {
+        match event {
+            Event::Tick => {}
+            Event::Heard {
+                upstream,
+                born_ms,
+                clock_ms,
+            } => self.heard(&upstream, born_ms, clock_ms),
+            Event::Held { call, answer } => self.held(call, answer, book),
+            Event::Started { call, answer } => self.started(call, answer, book),
+            Event::Stopped { call, answer } => self.stopped(call, answer),
+            Event::Advised { call, answer } => self.advised(call, answer),
+            Event::Committed { ticket, runs } => self.committed(ticket, &runs, book),
+            Event::Dropped { ticket } => self.settle(ticket),
+        }
+    }
+
+    /// Number of upstreams that may be given work.
+    pub fn usable(&self) -> usize {
+        let sessions = self.sessions.values();
+        sessions
+            .filter(|session| session.is_usable(self.now, &self.settings))
+            .count()
+    }
+
+    /// Number of runs that may be running.
+    pub fn live(&self) -> usize {
+        self.tracks.len()
+    }
+
+    pub(super) fn number(&mut self) -> u64 {
+        self.numbers += 1;
+        self.numbers
+    }
+
+    pub(super) fn replan(&mut self) {
+        self.dirty = true;
+    }
+
+    /// Brings sessions and tracks in line with the book.
+    fn follow_book(&mut self, book: &Book) {
+        if self.seen_changes == Some(book.changes()) {
+            return;
+        }
+        let first = self.seen_changes.is_none();
+        self.seen_changes = Some(book.changes());
+        self.dirty = true;
+        for upstream in book.upstreams() {
+            let known = self.sessions.get(&upstream.id);
+            if known.is_none_or(|session| session.born_ms != upstream.born_ms) {
+                let session = Session::new(upstream.born_ms, self.now, &self.settings);
+                self.sessions.insert(upstream.id.clone(), session);
+                self.health.shift_remove(&upstream.id);
+            }
+        }
+        self.sessions.retain(|id, _| book.upstream(id).is_some());
+        self.tracks
+            .retain(|(task, run), _| book.run(task, *run).is_some());
+        for (upstream, key, live) in book.live() {
+            let awaited = || {
+                let mut placements = self.proposed.values().flatten();
+                !first && placements.any(|placement| placement.task == key.0)
+            };
+            if !self.tracks.contains_key(key) && !awaited() {
+                let phase = Phase::Inherited;
+                let track = Track::new(upstream.clone(), live.born_ms, live.room, phase, self.now);
+                self.tracks.insert(*key, track);
+            } else if let Some(track) = self.tracks.get_mut(key) {
+                track.born_ms = live.born_ms;
+            }
+        }
+    }
+
+    fn heard(&mut self, upstream: &id::Upstream, born_ms: u64, clock_ms: Option<u64>) {
+        let now = self.now;
+        if let Some(session) = self.sessions.get_mut(upstream)
+            && session.born_ms == born_ms
+        {
+            session.heard = now;
+            if let Some(clock_ms) = clock_ms {
+                session.set_clock(clock_ms, now);
+            }
+        }
+    }
+
+    pub(super) fn target(&self, book: &Book, upstream: &id::Upstream) -> Option<Target> {
+        let known = book.upstream(upstream)?;
+        Some(Target {
+            upstream: upstream.clone(),
+            address: known.address.clone(),
+        })
+    }
+
+    /// Proposes that a run is over without a listed end.
+    pub(super) fn void(&mut self, key: RunKey, reason: Void) {
+        if self.voiding.values().flatten().any(|known| *known == key)
+            || self.steps.iter().any(|step| is_void_of(step, key))
+        {
+            return;
+        }
+        let track = self.tracks.get(&key);
+        log::info!(
+            "event=run_void task={} run={} upstream={} reason={reason}",
+            key.0,
+            key.1,
+            track.map_or("", |track| track.upstream.as_str())
+        );
+        self.steps.push(Step::Void {
+            task: key.0,
+            run: key.1,
+            reason,
+            checkpoint: track.map_or_else(String::new, |track| track.checkpoint.clone()),
+        });
+    }
+
+    fn plan_if_due(&mut self, book: &Book) {
+        let due = self.dirty || self.now >= self.next_plan + PLAN_IDLE;
+        if due && self.now >= self.next_plan {
+            self.dirty = false;
+            self.next_plan = self.now + PLAN_PAUSE;
+            self.plan(book);
+        }
+    }
+
+    fn expire(&mut self, book: &Book) {
+        if self.now < self.next_expire {
+            return;
+        }
+        self.next_expire = self.now + EXPIRE_PAUSE;
+        let keep_ms = self.settings.keep.as_millis() as u64;
+        let before_ms = self.time_ms.saturating_sub(keep_ms);
+        if book.has_ended_before(before_ms) {
+            self.steps.push(Step::Expire { before_ms });
+        }
+        for (id, session) in &self.sessions {
+            let quiet = self.now.saturating_duration_since(session.heard);
+            if quiet > FORGET_AFTER && book.live_on(id).next().is_none() {
+                log::info!(
+                    "event=upstream_forgotten upstream={id} silent_ms={}",
+                    quiet.as_millis()
+                );
+                self.steps.push(Step::Forget {
+                    upstream: id.clone(),
+                    born_ms: session.born_ms,
+                });
+            }
+        }
+    }
+
+    /// Proposes what this step has found and decided.
+    fn flush(&mut self) {
+        if self.steps.is_empty() {
+            return;
+        }
+        let ticket = self.number();
+        let steps = std::mem::take(&mut self.steps);
+        let placements = std::mem::take(&mut self.placements);
+        if !placements.is_empty() {
+            self.proposed.insert(ticket, placements);
+        }
+        let voids = steps.iter().filter_map(|step| match step {
+            Step::Void { task, run, .. } => Some((*task, *run)),
+            _ => None,
+        });
+        let voids: Vec<RunKey> = voids.collect();
+        if !voids.is_empty() {
+            self.voiding.insert(ticket, voids);
+        }
+        self.effects.push(Effect::Propose { ticket, steps });
+    }
+
+    /// Ends the wait for a proposal.
+    pub(super) fn settle(&mut self, ticket: u64) {
+        self.proposed.shift_remove(&ticket);
+        self.voiding.shift_remove(&ticket);
+        if let Some(upstream) = self.ending.shift_remove(&ticket)
+            && let Some(session) = self.sessions.get_mut(&upstream)
+        {
+            // The ends are proposed again when the upstream lists them again.
+            session.proposed_end = 0;
+        }
+        self.dirty = true;
+    }
+
+    /// Whether the order was certainly not carried out.
+    pub(super) fn was_not_done(failure: &Failure) -> bool {
+        matches!(
+            failure,
+            Failure::Refused(
+                Refusal::Fenced
+                    | Refusal::Late
+                    | Refusal::Room
+                    | Refusal::Ticket
+                    | Refusal::Unhealthy
+                    | Refusal::Malformed
+                    | Refusal::OtherLife
+                    | Refusal::Old
+            )
+        )
+    }
+}
+
+fn is_void_of(step: &Step, key: RunKey) -> bool {
+    matches!(step, Step::Void { task, run, .. } if (*task, *run) == key)
+}
--- /dev/null
+++ b/crates/plan/src/engine/hold.rs
@@ -0,0 +1,326 @@
+use {
+    super::{
+        Effect, Engine, Failure, Held, Hold, Refusal,
+        engine::RunKey,
+        session::Pending,
+        track::{Phase, Stopping},
+    },
+    crate::learn::Health,
+    indexmap::IndexMap,
+    std::time::{Duration, Instant},
+    work::{
+        book::{Book, Step, Void},
+        id,
+        upstream::{End, How},
+    },
+};
+
+/// Part of a lease after which the next hold must have been answered, so that several tries fit into the rest.
+const HOLD_SHARE_OF_LEASE: u32 = 4;
+
+/// Wait of a hold while the outcome of an order is open, so that it shows soon.
+const SHORT_WAIT: Duration = Duration::from_millis(100);
+
+/// Holds: leases, ends, and what runs on an upstream.
+impl Engine {
+    /// Sends the holds that are due.
+    pub(super) fn send_holds(&mut self, book: &Book) {
+        let now = self.now;
+        let due: Vec<id::Upstream> = self
+            .sessions
+            .iter()
+            .filter(|(_, session)| session.holding.is_none() && now >= session.next_hold)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in due {
+            if let Some(wait) = self.hold_wait(book, &id) {
+                self.send_hold(book, &id, wait);
+            }
+        }
+    }
+
+    /// How long the next hold may wait for an end; none if no hold is needed.
+    fn hold_wait(&self, book: &Book, id: &id::Upstream) -> Option<Duration> {
+        let session = self.sessions.get(id)?;
+        if !session.met {
+            return Some(Duration::ZERO);
+        }
+        let has_runs = book.live_on(id).next().is_some();
+        let has_ends = book.last_end(id) > session.released_end;
+        if !has_runs && session.strays.is_empty() {
+            return has_ends.then_some(Duration::ZERO);
+        }
+        let is_open = !session.strays.is_empty()
+            || book.live_on(id).any(|(key, _)| {
+                self.tracks.get(key).is_some_and(|track| {
+                    matches!(track.phase, Phase::Unanswered { .. } | Phase::Inherited)
+                        || track.stopping.is_some_and(|stop| stop.confirmed.is_some())
+                })
+            });
+        let longest = self.settings.lease / HOLD_SHARE_OF_LEASE;
+        Some(match is_open {
+            true => SHORT_WAIT,
+            false => longest.min(self.settings.hold_wait),
+        })
+    }
+
+    fn send_hold(&mut self, book: &Book, id: &id::Upstream, wait: Duration) {
+        let Some(target) = self.target(book, id) else {
+            return;
+        };
+        let call = self.number();
+        let (now, last_end) = (self.now, book.last_end(id));
+        let Some(session) = self.sessions.get_mut(id) else {
+            return;
+        };
+        session.holding = Some(Pending {
+            call,
+            sent: now,
+            last_end,
+        });
+        let order = Hold {
+            lease_until_ms: session.grant(now, &self.settings),
+            last_end,
+            wait,
+        };
+        self.effects.push(Effect::Hold {
+            call,
+            target,
+            order,
+        });
+    }
+
+    /// Takes the answer of a hold.
+    pub(super) fn held(&mut self, call: u64, answer: Result<Held, Failure>, book: &Book) {
+        let now = self.now;
+        let found = self.sessions.iter_mut().find_map(|(id, session)| {
+            let pending = session.holding.take_if(|pending| pending.call == call)?;
+            Some((id.clone(), pending))
+        });
+        let Some((id, pending)) = found else {
+            return;
+        };
+        match answer {
+            Ok(held) => self.take_list(book, &id, pending, held),
+            Err(failure) => {
+                let Some(session) = self.sessions.get_mut(&id) else {
+                    return;
+                };
+                session.failed(now);
+                if session.failures == 1 {
+                    log::warn!(
+                        "event=upstream_lost upstream={id} born_ms={} error=\"{failure}\"",
+                        session.born_ms
+                    );
+                }
+                if failure == Failure::Refused(Refusal::Fenced) {
+                    log::warn!("event=fenced upstream={id}");
+                }
+            }
+        }
+    }
+
+    fn take_list(&mut self, book: &Book, id: &id::Upstream, pending: Pending, held: Held) {
+        let now = self.now;
+        let Some(session) = self.sessions.get_mut(id) else {
+            return;
+        };
+        if held
+            .born_ms
+            .is_some_and(|born_ms| born_ms != session.born_ms)
+        {
+            // A later life that has not announced itself yet; its heartbeat brings the rest.
+            session.failed(now);
+            return;
+        }
+        if session.failures > 0 || !session.met {
+            log::info!(
+                "event=upstream_met upstream={id} born_ms={} running={} ended={} failures={}",
+                session.born_ms,
+                held.running.len(),
+                held.ended.len(),
+                session.failures
+            );
+        }
+        session.answered(now);
+        session.met = true;
+        session.next_hold = now;
+        session.released_end = session.released_end.max(pending.last_end);
+        if let Some(clock_ms) = held.clock_ms {
+            session.set_clock(clock_ms, now);
+        }
+        let running: IndexMap<RunKey, _> = held
+            .running
+            .iter()
+            .map(|running| ((running.task, running.run), running))
+            .collect();
+        self.find_strays(book, id, &running.keys().copied().collect::<Vec<_>>());
+        for (key, running) in &running {
+            if let Some(track) = self.tracks.get_mut(key)
+                && track.upstream == *id
+            {
+                if running.percent != track.percent || !track.listed {
+                    track.percent = running.percent;
+                    track.moved = now;
+                }
+                if running.checkpoint != track.checkpoint {
+                    track.checkpoint.clone_from(&running.checkpoint);
+                    track.saved = now;
+                }
+                track.listed = true;
+                if !matches!(track.phase, Phase::Started { .. } | Phase::Sending { .. }) {
+                    track.phase = Phase::Started { at: now };
+                }
+            }
+        }
+        self.propose_ends(book, id, &held.ended);
+        self.find_absent(
+            book,
+            id,
+            pending.sent,
+            &running.keys().copied().collect::<Vec<_>>(),
+            &held.ended,
+        );
+        self.replan();
+    }
+
+    /// Runs that the upstream lists and the book does not hold are stopped, and block it until they are gone.
+    fn find_strays(&mut self, book: &Book, id: &id::Upstream, running: &[RunKey]) {
+        let is_held = |key: &RunKey| {
+            let run = book.run(&key.0, key.1);
+            run.is_some_and(|run| run.upstream == *id)
+        };
+        let strays: Vec<RunKey> = running
+            .iter()
+            .copied()
+            .filter(|key| !is_held(key))
+            .collect();
+        let Some(session) = self.sessions.get_mut(id) else {
+            return;
+        };
+        session.strays = strays.iter().copied().collect();
+        for key in strays {
+            log::warn!("event=run_stray upstream={id} task={} run={}", key.0, key.1);
+            self.send_stop(book, id, key);
+        }
+    }
+
+    fn propose_ends(&mut self, book: &Book, id: &id::Upstream, ended: &[End]) {
+        let Some(session) = self.sessions.get_mut(id) else {
+            return;
+        };
+        let from = book.last_end(id).max(session.proposed_end);
+        let ends: Vec<End> = ended
+            .iter()
+            .filter(|end| end.number > from)
+            .cloned()
+            .collect();
+        let Some(last) = ends.last() else {
+            return;
+        };
+        session.proposed_end = last.number;
+        let born_ms = session.born_ms;
+        // The next hold allows the upstream to forget them, so it waits for the commit.
+        session.next_hold = self.now + Duration::from_secs(1);
+        for end in &ends {
+            log::info!(
+                "event=run_ended task={} run={} upstream={id} how={} number={}",
+                end.task,
+                end.run,
+                end.how,
+                end.number
+            );
+            self.learn(book, id, end);
+        }
+        // Ends have a proposal of their own, so that a failed one is known to be theirs.
+        let ticket = self.number();
+        self.ending.insert(ticket, id.clone());
+        let steps = vec![Step::Ended {
+            upstream: id.clone(),
+            born_ms,
+            ends,
+        }];
+        self.effects.push(Effect::Propose { ticket, steps });
+    }
+
+    fn learn(&mut self, book: &Book, id: &id::Upstream, end: &End) {
+        let now = self.now;
+        let health = self
+            .health
+            .entry(id.clone())
+            .or_insert_with(Health::default);
+        match end.how {
+            How::Done => health.done(),
+            How::Failed => health.failed(now),
+            _ => {}
+        }
+        let Some(track) = self.tracks.get(&(end.task, end.run)) else {
+            return;
+        };
+        let (Some(job), Some(step)) = (book.job(end.task.job), book.step(&end.task)) else {
+            return;
+        };
+        if end.how == How::Done && !track.resumed && track.upstream == *id {
+            let took = now.saturating_duration_since(track.since);
+            let rack = book.upstream(id).map(|upstream| upstream.rack.as_str());
+            let near = step.data_rack.is_none() || step.data_rack.as_deref() == rack;
+            if near && !step.same_rack {
+                self.pace.observe(job, step, took);
+            }
+        }
+    }
+
+    /// Runs that the upstream neither lists nor can start any more are over.
+    fn find_absent(
+        &mut self,
+        book: &Book,
+        id: &id::Upstream,
+        sent: Instant,
+        running: &[RunKey],
+        ended: &[End],
+    ) {
+        let Some(born_ms) = self.sessions.get(id).map(|session| session.born_ms) else {
+            return;
+        };
+        let listed = |key: &RunKey| {
+            running.contains(key) || ended.iter().any(|end| (end.task, end.run) == *key)
+        };
+        let held: Vec<RunKey> = book.live_on(id).map(|(key, _)| *key).collect();
+        for key in held {
+            let Some(track) = self.tracks.get(&key) else {
+                continue;
+            };
+            let is_reborn = track.born_ms != born_ms;
+            if listed(&key) {
+                if is_reborn && running.contains(&key) {
+                    self.steps.push(Step::Moved {
+                        task: key.0,
+                        run: key.1,
+                        born_ms,
+                    });
+                }
+                continue;
+            }
+            let stopped_before = |stop: Stopping| stop.confirmed.is_some_and(|at| at < sent);
+            let is_absent = match track.phase {
+                Phase::Inherited => true,
+                Phase::Started { at } => at < sent,
+                Phase::Sending { .. } => false,
+                Phase::Unanswered { .. } => track.stopping.is_some_and(stopped_before),
+            };
+            if is_absent {
+                let reason = if is_reborn {
+                    Void::Reborn
+                } else {
+                    Void::Absent
+                };
+                self.void(key, reason);
+            } else if is_reborn
+                && track.stopping.is_none()
+                && !matches!(track.phase, Phase::Sending { .. })
+            {
+                self.stop(key, "reborn");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/plan/src/engine/planning.rs
@@ -0,0 +1,330 @@
+use {
+    super::{Engine, engine::RunKey},
+    crate::{
+        order::{self, Rank, Unit},
+        place::{self, Host, Reach, Room},
+        reclaim::{self, Victim},
+    },
+    indexmap::{IndexMap, IndexSet},
+    work::{
+        book::{Book, Placement, Step},
+        id,
+        job::Need,
+    },
+};
+
+/// Most tasks assigned in one round, so that one entry of the log and one burst of starts stay small.
+const MAX_ASSIGNED: usize = 128;
+
+/// Most units for which victims are searched in one round; the search is the costliest part of it.
+const MAX_RECLAIMS: usize = 6;
+
+/// Core-seconds that may be thrown away for one urgent unit that no guarantee covers. At the platform's prices
+/// more would cost as much as the unit earns.
+const MAX_WASTE: f64 = 1200.0;
+
+/// Share of a service's accelerators in use below which work may go far from its data or its gang: idle room is
+/// better used slowly than not at all.
+const IDLE_SHARE: f64 = 0.5;
+
+/// Time for which work waits for a place near its data or its gang while there is idle room elsewhere.
+const NEAR_PATIENCE_MS: u64 = 1500;
+
+/// Share of the reclaim time after which a guaranteed gang is spread rather than late.
+const SPREAD_SHARE: f64 = 0.35;
+
+/// Percentage of progress after which a run is not stopped any more: it ends by itself about as soon.
+const NEARLY_DONE_PERCENT: u8 = 90;
+
+/// What one round of planning works on.
+struct Round<'a> {
+    book: &'a Book,
+    hosts: Vec<Host<'a>>,
+    positions: IndexMap<id::Upstream, usize>,
+    /// Whether more than half of the accelerators of a service are idle.
+    idle: IndexMap<String, bool>,
+    assigned: usize,
+    reclaims: usize,
+    guaranteed: IndexSet<&'a str>,
+}
+
+/// Planning: places ready work and makes room for urgent work.
+impl Engine {
+    /// Goes through all ready work, best first.
+    pub(super) fn plan(&mut self, book: &Book) {
+        let mut round = self.open_round(book);
+        if round.hosts.is_empty() {
+            return;
+        }
+        self.forget_advice(book);
+        let placements = self.proposed.values().flatten();
+        let taken: IndexSet<id::Task> = placements.map(|placement| placement.task).collect();
+        let units = order::units(book, &self.pace, self.time_ms, self.settings.early, &taken);
+        for unit in &units {
+            if round.assigned >= MAX_ASSIGNED {
+                break;
+            }
+            let allowed = self.allowed(book, unit, &round.hosts);
+            if unit.step.gang {
+                self.plan_gang(&mut round, unit, &allowed);
+            } else {
+                self.plan_singles(&mut round, unit, &allowed);
+            }
+        }
+    }
+
+    fn open_round<'a>(&self, book: &'a Book) -> Round<'a> {
+        let mut hosts = Vec::new();
+        let mut positions = IndexMap::new();
+        for upstream in book.upstreams() {
+            let usable = self
+                .sessions
+                .get(&upstream.id)
+                .is_some_and(|session| session.is_usable(self.now, &self.settings));
+            let health = self.health.get(&upstream.id);
+            let fit = health.is_none_or(|health| health.is_fit(self.now));
+            if !usable || !fit || upstream.draining {
+                continue;
+            }
+            positions.insert(upstream.id.clone(), hosts.len());
+            hosts.push(Host {
+                upstream,
+                free: upstream.capacity,
+                soon: upstream.capacity,
+                proven: health.is_none_or(|health| health.is_proven()),
+                spread: Vec::new(),
+            });
+        }
+        let mut round = Round {
+            book,
+            hosts,
+            positions,
+            idle: IndexMap::new(),
+            assigned: 0,
+            reclaims: 0,
+            guaranteed: order::guaranteed_accounts(book),
+        };
+        self.charge(&mut round);
+        round.idle = idle_services(&round.hosts);
+        round
+    }
+
+    /// Takes off what runs, is about to run, or is being stopped.
+    fn charge(&self, round: &mut Round<'_>) {
+        for (upstream, key, live) in round.book.live() {
+            let Some(position) = round.positions.get(upstream) else {
+                continue;
+            };
+            let host = &mut round.hosts[*position];
+            host.free -= live.room;
+            let stopping = self
+                .tracks
+                .get(key)
+                .is_some_and(|track| track.stopping.is_some());
+            if !stopping {
+                host.soon -= live.room;
+            }
+            if round
+                .book
+                .step(&key.0)
+                .is_some_and(|step| step.spread.is_some())
+            {
+                host.count(key.0);
+            }
+        }
+        for placement in self.proposed.values().flatten() {
+            let (Some(position), Some(step)) = (
+                round.positions.get(&placement.upstream),
+                round.book.step(&placement.task),
+            ) else {
+                continue;
+            };
+            let host = &mut round.hosts[*position];
+            host.free -= step.room();
+            host.soon -= step.room();
+            if step.spread.is_some() {
+                host.count(placement.task);
+            }
+        }
+    }
+
+    fn plan_gang(&mut self, round: &mut Round<'_>, unit: &Unit<'_>, allowed: &[bool]) {
+        let reach = self.reach(round, unit, allowed);
+        if let Some(places) = place::gang(unit, &round.hosts, allowed, Room::Now, reach) {
+            self.assign(round, unit, &places);
+            return;
+        }
+        if !unit.rank.may_displace() {
+            return;
+        }
+        // Room that is being freed is set aside, so that nothing of lower rank takes it.
+        if let Some(places) = place::gang(unit, &round.hosts, allowed, Room::Soon, reach) {
+            set_aside(round, unit, &places);
+            return;
+        }
+        if round.reclaims >= MAX_RECLAIMS {
+            return;
+        }
+        round.reclaims += 1;
+        let victims = self.victims(round, unit);
+        let choice = reclaim::choose(unit, &round.hosts, allowed, &victims, reach);
+        let Some((chosen, places)) = choice else {
+            return;
+        };
+        let waste: f64 = chosen.iter().map(|position| victims[*position].waste).sum();
+        if unit.rank != Rank::Guaranteed && waste > MAX_WASTE {
+            return;
+        }
+        log::info!(
+            "event=reclaim job={} step={} tasks={} rank={:?} victims={} waste_core_s={waste:.0} reach={reach:?}",
+            unit.name.job,
+            unit.name.step,
+            unit.tasks.len(),
+            unit.rank,
+            chosen.len()
+        );
+        for position in chosen {
+            for (host, room) in &victims[position].rooms {
+                round.hosts[*host].soon += *room;
+            }
+            for key in &victims[position].runs {
+                self.stop(*key, "reclaim");
+            }
+        }
+        set_aside(round, unit, &places);
+    }
+
+    fn plan_singles(&mut self, round: &mut Round<'_>, unit: &Unit<'_>, allowed: &[bool]) {
+        let reach = self.reach(round, unit, allowed);
+        for index in &unit.tasks {
+            if round.assigned >= MAX_ASSIGNED {
+                return;
+            }
+            let Some(place) = place::single(unit, &round.hosts, allowed, reach) else {
+                return;
+            };
+            let one = Unit {
+                tasks: vec![*index],
+                ..unit.clone()
+            };
+            self.assign(round, &one, &[place]);
+        }
+    }
+
+    /// Whether the unit should wait for a place near its data and its other members.
+    fn reach(&self, round: &Round<'_>, unit: &Unit<'_>, allowed: &[bool]) -> Reach {
+        if !unit.wants_rack() || !can_be_near(round, unit, allowed) {
+            return Reach::Far;
+        }
+        let waited_ms = self.time_ms.saturating_sub(unit.since_ms);
+        let spread_ms = self.settings.reclaim.as_millis() as f64 * SPREAD_SHARE;
+        let idle = round.idle.get(unit.service).copied().unwrap_or(false);
+        let must_start = unit.rank == Rank::Guaranteed && waited_ms as f64 > spread_ms;
+        match must_start || (idle && waited_ms > NEAR_PATIENCE_MS) {
+            true => Reach::Far,
+            false => Reach::Near,
+        }
+    }
+
+    fn assign(&mut self, round: &mut Round<'_>, unit: &Unit<'_>, places: &[usize]) {
+        let mut placements = Vec::with_capacity(places.len());
+        for (index, place) in unit.tasks.iter().zip(places) {
+            let host = &mut round.hosts[*place];
+            host.take(unit);
+            placements.push(Placement {
+                task: unit.task(*index),
+                upstream: host.upstream.id.clone(),
+                born_ms: host.upstream.born_ms,
+            });
+        }
+        round.assigned += placements.len();
+        self.placements.extend(placements.iter().cloned());
+        self.steps.push(Step::Assign(placements));
+    }
+
+    /// Running work that may be stopped for the unit.
+    fn victims(&self, round: &Round<'_>, unit: &Unit<'_>) -> Vec<Victim> {
+        let mut groups: IndexMap<RunKey, Victim> = IndexMap::new();
+        let mut kept: IndexSet<RunKey> = IndexSet::new();
+        for (key, track) in &self.tracks {
+            let (Some(job), Some(step)) = (round.book.job(key.0.job), round.book.step(&key.0))
+            else {
+                continue;
+            };
+            let Some(queue) = round.book.queue(&job.queue) else {
+                continue;
+            };
+            let group = match step.gang {
+                true => (id::Task { index: 0, ..key.0 }, key.1),
+                false => *key,
+            };
+            let borrows = queue.priority == 0
+                && unit.rank == Rank::Guaranteed
+                && job.account.as_deref() != unit.account
+                && !job
+                    .account
+                    .as_deref()
+                    .is_some_and(|account| round.guaranteed.contains(account));
+            let lower = queue.priority > unit.priority || borrows;
+            if !lower
+                || step.lasting
+                || track.stopping.is_some()
+                || track.percent >= NEARLY_DONE_PERCENT
+            {
+                kept.insert(group);
+                continue;
+            }
+            let victim = groups.entry(group).or_insert_with(|| Victim {
+                runs: Vec::new(),
+                rooms: Vec::new(),
+                priority: queue.priority,
+                waste: 0.0,
+            });
+            victim.runs.push(*key);
+            victim.waste += track.unsaved(self.now);
+            if let Some(position) = round.positions.get(&track.upstream) {
+                victim.rooms.push((*position, track.room));
+            }
+        }
+        groups.retain(|group, _| !kept.contains(group));
+        groups.into_values().collect()
+    }
+}
+
+fn set_aside(round: &mut Round<'_>, unit: &Unit<'_>, places: &[usize]) {
+    for place in places {
+        round.hosts[*place].take(unit);
+    }
+}
+
+/// Whether the unit would fit near if nothing else ran there.
+fn can_be_near(round: &Round<'_>, unit: &Unit<'_>, allowed: &[bool]) -> bool {
+    let empty: Vec<Host<'_>> = round
+        .hosts
+        .iter()
+        .map(|host| Host {
+            free: host.upstream.capacity,
+            soon: host.upstream.capacity,
+            ..host.clone()
+        })
+        .collect();
+    match unit.step.gang {
+        true => place::gang(unit, &empty, allowed, Room::Now, Reach::Near).is_some(),
+        false => place::single(unit, &empty, allowed, Reach::Near).is_some(),
+    }
+}
+
+fn idle_services(hosts: &[Host<'_>]) -> IndexMap<String, bool> {
+    let mut totals: IndexMap<String, (Need, Need)> = IndexMap::new();
+    for host in hosts {
+        let (capacity, free) = totals.entry(host.upstream.service.clone()).or_default();
+        *capacity += host.upstream.capacity;
+        *free += host.free;
+    }
+    let is_idle = |(capacity, free): (Need, Need)| {
+        let share = |free: i64, all: i64| all > 0 && free as f64 > all as f64 * IDLE_SHARE;
+        share(free.accelerators, capacity.accelerators) || share(free.cpu_milli, capacity.cpu_milli)
+    };
+    let totals = totals.into_iter();
+    totals.map(|(name, rooms)| (name, is_idle(rooms))).collect()
+}
--- /dev/null
+++ b/crates/plan/src/engine/track.rs
@@ -0,0 +1,94 @@
+use {
+    std::time::{Duration, Instant},
+    work::{id, job::Need},
+};
+
+/// Pause before an unanswered order is sent again.
+pub(super) const RESEND: Duration = Duration::from_millis(150);
+
+/// How far the start of a run is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Phase {
+    /// Assigned by an earlier leader, which may or may not have sent the start.
+    Inherited,
+    /// The start is on its way.
+    Sending { call: u64 },
+    /// The start had no answer; it is sent again at the given time.
+    Unanswered { next: Instant },
+    /// The upstream has confirmed it.
+    Started { at: Instant },
+}
+
+/// The order to stop a run.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Stopping {
+    /// The call on its way.
+    pub call: Option<u64>,
+    /// When the order was confirmed.
+    pub confirmed: Option<Instant>,
+    /// When it is sent again if it is not confirmed.
+    pub next: Instant,
+}
+
+/// What this leader knows of a run that may be running.
+#[derive(Clone, Debug)]
+pub(super) struct Track {
+    pub upstream: id::Upstream,
+    pub born_ms: u64,
+    pub room: Need,
+    pub phase: Phase,
+    /// When the start was first sent, or the run was inherited.
+    pub since: Instant,
+    /// When its progress was first measured.
+    pub tries: u32,
+    pub stopping: Option<Stopping>,
+    /// Whether the upstream has listed it as running.
+    pub listed: bool,
+    pub percent: u8,
+    /// When `percent` last rose.
+    pub moved: Instant,
+    /// Latest checkpoint and when it was first seen.
+    pub checkpoint: String,
+    pub saved: Instant,
+    /// Since when the task needs no run any more.
+    pub surplus: Option<Instant>,
+    /// Whether it resumed from a checkpoint.
+    pub resumed: bool,
+}
+
+impl Track {
+    pub fn new(
+        upstream: id::Upstream,
+        born_ms: u64,
+        room: Need,
+        phase: Phase,
+        now: Instant,
+    ) -> Track {
+        Track {
+            upstream,
+            born_ms,
+            room,
+            phase,
+            since: now,
+            tries: 0,
+            stopping: None,
+            listed: false,
+            percent: 0,
+            moved: now,
+            checkpoint: String::new(),
+            saved: now,
+            surplus: None,
+            resumed: false,
+        }
+    }
+
+    /// Core-seconds that a stop would throw away now.
+    pub fn unsaved(&self, now: Instant) -> f64 {
+        let since = if self.checkpoint.is_empty() {
+            self.since
+        } else {
+            self.saved
+        };
+        now.saturating_duration_since(since).as_secs_f64() * self.room.cores()
+    }
+}
--- /dev/null
+++ b/crates/plan/src/learn/mod.rs
@@ -0,0 +1,6 @@
+//! What is learned from runs: how long work really takes, and which upstreams fail.
+
+mod health;
+mod pace;
+
+pub use {health::Health, pace::Pace};
--- /dev/null
+++ b/crates/plan/src/order/units.rs
@@ -0,0 +1,199 @@
+use {
+    super::{Rank, Unit},
+    crate::learn::Pace,
+    indexmap::{IndexMap, IndexSet},
+    std::time::Duration,
+    work::{
+        book::{Book, Job, Occurrence},
+        config::Queue,
+        id,
+    },
+};
+
+/// Lists the work that is ready, best first. Tasks in `taken` are left out.
+pub fn units<'a>(
+    book: &'a Book,
+    pace: &Pace,
+    time_ms: u64,
+    early: Duration,
+    taken: &IndexSet<id::Task>,
+) -> Vec<Unit<'a>> {
+    let guaranteed = guaranteed_accounts(book);
+    let mut units = Vec::new();
+    for job in book.open_jobs() {
+        let Some(queue) = book.queue(&job.queue) else {
+            continue;
+        };
+        let is_guaranteed = queue.priority == 0
+            && job
+                .account
+                .as_deref()
+                .is_some_and(|account| guaranteed.contains(account));
+        for number in due_occurrences(job, time_ms, early) {
+            let ready = Ready {
+                book,
+                pace,
+                job,
+                queue,
+                time_ms,
+                is_guaranteed,
+            };
+            ready.add(number, taken, &mut units);
+        }
+    }
+    units.sort_by(|a, b| {
+        (a.rank, a.start_by_ms)
+            .partial_cmp(&(b.rank, b.start_by_ms))
+            .unwrap_or(std::cmp::Ordering::Equal)
+    });
+    units
+}
+
+/// Accounts whose open jobs of priority 0 need no more accelerators than are guaranteed to them.
+pub fn guaranteed_accounts(book: &Book) -> IndexSet<&str> {
+    let Some(config) = book.config() else {
+        return IndexSet::new();
+    };
+    let mut needed: IndexMap<&str, i64> = IndexMap::new();
+    for job in book.open_jobs() {
+        let urgent = book
+            .queue(&job.queue)
+            .is_some_and(|queue| queue.priority == 0);
+        if let (true, Some(account)) = (urgent, &job.account) {
+            *needed.entry(account).or_default() += job.form.accelerators();
+        }
+    }
+    let within = |account: &&work::config::Account| {
+        account.guaranteed > 0
+            && needed.get(account.name.as_str()).copied().unwrap_or(0) <= account.guaranteed
+    };
+    let accounts = config.accounts.iter().filter(within);
+    accounts.map(|account| account.name.as_str()).collect()
+}
+
+/// Occurrences that are due and not finished.
+fn due_occurrences(job: &Job, time_ms: u64, early: Duration) -> Vec<u32> {
+    // Half of the tolerance is left for clocks that differ.
+    let early_ms = early.as_millis() as u64 / 2;
+    let last = job.form.occurrences();
+    (0..last)
+        .take_while(|number| job.form.repeat.is_none() || job.due_ms(*number) <= time_ms + early_ms)
+        .filter(|number| job.is_pending(*number))
+        .collect()
+}
+
+/// What the units of one job have in common.
+struct Ready<'a, 'p> {
+    book: &'a Book,
+    pace: &'p Pace,
+    job: &'a Job,
+    queue: &'a Queue,
+    time_ms: u64,
+    is_guaranteed: bool,
+}
+
+impl<'a> Ready<'a, '_> {
+    fn add(&self, number: u32, taken: &IndexSet<id::Task>, units: &mut Vec<Unit<'a>>) {
+        let (job, queue) = (self.job, self.queue);
+        let occurrence = job.occurrences.get(&number);
+        let (chain_ms, rest_ms) = self.chains(occurrence);
+        let base_ms = job.due_ms(number);
+        let objective_ms = queue.stretch * chain_ms + queue.objective_ms as f64;
+        for (position, step) in job.form.steps.iter().enumerate() {
+            let name = id::Task {
+                job: job.id,
+                occurrence: number,
+                step: position as u16,
+                index: 0,
+            };
+            let is_open = match occurrence {
+                Some(occurrence) => occurrence.is_open(&job.form, position),
+                None => step.after.is_empty(),
+            };
+            let tasks = if is_open {
+                self.ready_tasks(name, taken)
+            } else {
+                Vec::new()
+            };
+            if tasks.is_empty() {
+                continue;
+            }
+            let elapsed_ms = self.time_ms as f64 - base_ms as f64;
+            let rank = match self.is_guaranteed && self.book.progress(&name).is_none() {
+                true => Rank::Guaranteed,
+                false => Rank::new(queue.priority, elapsed_ms + rest_ms[position], objective_ms),
+            };
+            let progress = self.book.progress(&name);
+            let failures = progress.map_or(0, |progress| {
+                let tasks = progress.tasks.iter().map(|task| task.failures);
+                tasks.max().unwrap_or(0).max(progress.gang_failures)
+            });
+            let failed_on = progress.map_or_else(Vec::new, |progress| {
+                let tasks = progress.tasks.iter();
+                tasks.flat_map(|task| task.failed_on.clone()).collect()
+            });
+            units.push(Unit {
+                name,
+                step,
+                tasks,
+                room: step.room(),
+                service: &queue.service,
+                account: job.account.as_deref(),
+                priority: queue.priority,
+                rank,
+                start_by_ms: base_ms as f64 + objective_ms - rest_ms[position],
+                since_ms: base_ms.max(job.accepted_ms),
+                last_chance: failures + 1 >= queue.attempts && failures > 0,
+                advised: queue.advice.is_some(),
+                failed_on,
+            });
+        }
+    }
+
+    /// Tasks of a step that need a run; all of a gang or none.
+    fn ready_tasks(&self, name: id::Task, taken: &IndexSet<id::Task>) -> Vec<u16> {
+        let Some(step) = self.job.step(&name) else {
+            return Vec::new();
+        };
+        let progress = self.book.progress(&name);
+        let is_ready = |index: &u16| {
+            let task = id::Task {
+                index: *index,
+                ..name
+            };
+            let state = progress.and_then(|progress| progress.tasks.get(usize::from(*index)));
+            !taken.contains(&task) && state.is_none_or(|state| !state.done && state.live.is_empty())
+        };
+        let ready: Vec<u16> = (0..step.count).filter(is_ready).collect();
+        match step.gang && ready.len() < usize::from(step.count) {
+            true => Vec::new(),
+            false => ready,
+        }
+    }
+
+    /// Expected length of the longest chain of steps, and for each step that of the chain that begins with it, in
+    /// milliseconds.
+    fn chains(&self, occurrence: Option<&Occurrence>) -> (f64, Vec<f64>) {
+        let steps = &self.job.form.steps;
+        let mut rest = vec![0.0_f64; steps.len()];
+        let mut whole = vec![0.0_f64; steps.len()];
+        for position in (0..steps.len()).rev() {
+            let own = self.pace.expected_ms(self.job, &steps[position]);
+            let later = |chains: &[f64]| {
+                let waiting = steps
+                    .iter()
+                    .enumerate()
+                    .filter(|(_, step)| step.after.contains(&(position as u16)));
+                waiting
+                    .map(|(number, _)| chains[number])
+                    .fold(0.0, f64::max)
+            };
+            let done = occurrence
+                .and_then(|occurrence| occurrence.steps.get(position))
+                .is_some_and(|progress| progress.is_done());
+            whole[position] = own + later(&whole);
+            rest[position] = later(&rest) + if done { 0.0 } else { own };
+        }
+        (whole.into_iter().fold(0.0, f64::max), rest)
+    }
+}
--- /dev/null
+++ b/crates/plan/src/place/fit.rs
@@ -0,0 +1,101 @@
+use {
+    super::{Host, Room},
+    crate::order::Unit,
+    indexmap::IndexMap,
+};
+
+/// How far apart the tasks of a unit may be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reach {
+    /// On the rack of the data, and a gang that wants it on one rack.
+    Near,
+    /// Anywhere.
+    Far,
+}
+
+/// Finds an upstream for each task of a gang, as positions in `hosts`.
+///
+/// Of the racks that can take the whole gang the one with the least room left over is chosen, and on it the
+/// fullest upstreams, so that the emptiest racks and upstreams stay whole for wide gangs.
+pub fn gang(
+    unit: &Unit<'_>,
+    hosts: &[Host<'_>],
+    allowed: &[bool],
+    room: Room,
+    reach: Reach,
+) -> Option<Vec<usize>> {
+    let candidates = candidates(unit, hosts, allowed, reach);
+    if reach == Reach::Far || !unit.step.same_rack {
+        return fit(unit, hosts, &candidates, room);
+    }
+    let mut racks: IndexMap<&str, Vec<usize>> = IndexMap::new();
+    for position in candidates {
+        racks
+            .entry(&hosts[position].upstream.rack)
+            .or_default()
+            .push(position);
+    }
+    let fitting = racks.values().filter_map(|members| {
+        let slots: usize = members
+            .iter()
+            .map(|position| hosts[*position].slots(unit, room))
+            .sum();
+        (slots >= unit.tasks.len()).then_some((slots, members))
+    });
+    let (_, members) = fitting.min_by_key(|(slots, _)| *slots)?;
+    fit(unit, hosts, members, room)
+}
+
+/// Fills the fullest of the given upstreams first.
+pub fn fit(
+    unit: &Unit<'_>,
+    hosts: &[Host<'_>],
+    candidates: &[usize],
+    room: Room,
+) -> Option<Vec<usize>> {
+    let mut candidates = candidates.to_vec();
+    candidates.sort_by_key(|position| hosts[*position].free.accelerators);
+    let mut chosen = Vec::with_capacity(unit.tasks.len());
+    for position in candidates {
+        let missing = unit.tasks.len() - chosen.len();
+        let slots = hosts[position].slots(unit, room).min(missing);
+        chosen.extend(std::iter::repeat_n(position, slots));
+        if chosen.len() == unit.tasks.len() {
+            return Some(chosen);
+        }
+    }
+    None
+}
+
+/// Finds an upstream for one task, as position in `hosts`.
+pub fn single(
+    unit: &Unit<'_>,
+    hosts: &[Host<'_>],
+    allowed: &[bool],
+    reach: Reach,
+) -> Option<usize> {
+    candidates(unit, hosts, allowed, reach)
+        .into_iter()
+        .filter(|position| hosts[*position].slots(unit, Room::Now) > 0)
+        .min_by_key(|position| hosts[*position].free.accelerators)
+}
+
+/// Upstreams that may run the unit.
+pub fn candidates(
+    unit: &Unit<'_>,
+    hosts: &[Host<'_>],
+    allowed: &[bool],
+    reach: Reach,
+) -> Vec<usize> {
+    let is_near = |host: &Host<'_>| {
+        let rack = unit.step.data_rack.as_ref();
+        rack.is_none_or(|rack| *rack == host.upstream.rack)
+    };
+    let positions = hosts.iter().enumerate().zip(allowed);
+    positions
+        .filter(|((_, host), allowed)| {
+            **allowed && host.accepts(unit) && (reach == Reach::Far || is_near(host))
+        })
+        .map(|((position, _), _)| position)
+        .collect()
+}
--- /dev/null
+++ b/crates/plan/src/place/host.rs
@@ -0,0 +1,81 @@
+use {
+    crate::order::Unit,
+    work::{id, job::Need, upstream::Upstream},
+};
+
+/// An upstream as a place for work during one round of planning.
+#[derive(Clone, Debug)]
+pub struct Host<'a> {
+    /// The upstream.
+    pub upstream: &'a Upstream,
+    /// Room that is free now.
+    pub free: Need,
+    /// Room that is free now or being freed, less what was set aside for waiting work.
+    pub soon: Need,
+    /// Whether its latest runs did not fail.
+    pub proven: bool,
+    /// Steps whose tasks are limited per upstream, and how many each has here, named by their first task.
+    pub spread: Vec<(id::Task, u16)>,
+}
+
+/// Which room is meant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Room {
+    /// What is free now.
+    Now,
+    /// What is free or being freed.
+    Soon,
+}
+
+impl Host<'_> {
+    /// Whether a unit may run here at all.
+    pub fn accepts(&self, unit: &Unit<'_>) -> bool {
+        self.upstream.service == unit.service
+            && unit
+                .step
+                .label
+                .as_ref()
+                .is_none_or(|label| self.upstream.labels.contains(label))
+            && !(unit.last_chance && !self.proven)
+            && !unit.failed_on.contains(&self.upstream.id)
+    }
+
+    /// How many tasks of a unit fit.
+    pub fn slots(&self, unit: &Unit<'_>, room: Room) -> usize {
+        let fitting = match room {
+            Room::Now => self.free.times(&unit.room).min(self.soon.times(&unit.room)),
+            Room::Soon => self.soon.times(&unit.room),
+        };
+        match unit.step.spread {
+            Some(limit) => fitting.min(usize::from(limit.saturating_sub(self.placed(unit)))),
+            None => fitting,
+        }
+    }
+
+    fn placed(&self, unit: &Unit<'_>) -> u16 {
+        let step = id::Task {
+            index: 0,
+            ..unit.name
+        };
+        let here = self.spread.iter().find(|(name, _)| *name == step);
+        here.map_or(0, |(_, count)| *count)
+    }
+
+    /// Takes room for one task.
+    pub fn take(&mut self, unit: &Unit<'_>) {
+        self.free -= unit.room;
+        self.soon -= unit.room;
+        if unit.step.spread.is_some() {
+            self.count(unit.name);
+        }
+    }
+
+    /// Counts one task of a step that is limited per upstream.
+    pub fn count(&mut self, task: id::Task) {
+        let step = id::Task { index: 0, ..task };
+        match self.spread.iter_mut().find(|(name, _)| *name == step) {
+            Some((_, count)) => *count += 1,
+            None => self.spread.push((step, 1)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/plan/src/reclaim/choose.rs
@@ -0,0 +1,104 @@
+use {
+    super::Victim,
+    crate::{
+        order::Unit,
+        place::{self, Host, Reach, Room},
+    },
+    indexmap::IndexMap,
+};
+
+/// Finds the victims whose stop makes room for the unit, and the places of its tasks, as positions in `victims` and
+/// `hosts`.
+///
+/// Work of the lowest priority goes first, and of that the work that loses the least for each accelerator freed.
+pub fn choose(
+    unit: &Unit<'_>,
+    hosts: &[Host<'_>],
+    allowed: &[bool],
+    victims: &[Victim],
+    reach: Reach,
+) -> Option<(Vec<usize>, Vec<usize>)> {
+    let candidates = place::candidates(unit, hosts, allowed, reach);
+    let mut groups: IndexMap<&str, Vec<usize>> = IndexMap::new();
+    for position in candidates {
+        let one_rack = unit.step.gang && unit.step.same_rack && reach == Reach::Near;
+        let group = if one_rack {
+            hosts[position].upstream.rack.as_str()
+        } else {
+            ""
+        };
+        groups.entry(group).or_default().push(position);
+    }
+    let choices = groups
+        .values()
+        .filter_map(|members| choose_among(unit, hosts, members, victims));
+    let (_, chosen, places) = choices.min_by(|(a, ..), (b, ..)| a.total_cmp(b))?;
+    Some((chosen, places))
+}
+
+/// The same on a set of hosts; the first value is the cost.
+fn choose_among(
+    unit: &Unit<'_>,
+    hosts: &[Host<'_>],
+    members: &[usize],
+    victims: &[Victim],
+) -> Option<(f64, Vec<usize>, Vec<usize>)> {
+    let mut order: Vec<(usize, f64)> = victims
+        .iter()
+        .enumerate()
+        .filter_map(|(position, victim)| {
+            let freed = victim.accelerators(members);
+            (freed > 0).then(|| (position, victim.waste / freed as f64))
+        })
+        .collect();
+    order.sort_by(|(a, a_cost), (b, b_cost)| {
+        let priorities = victims[*b].priority.cmp(&victims[*a].priority);
+        priorities.then(a_cost.total_cmp(b_cost))
+    });
+    let mut room: Vec<Host<'_>> = members
+        .iter()
+        .map(|position| hosts[*position].clone())
+        .collect();
+    let slots =
+        |room: &[Host<'_>]| -> usize { room.iter().map(|host| host.slots(unit, Room::Soon)).sum() };
+    let mut chosen = Vec::new();
+    for (position, _) in order {
+        if slots(&room) >= unit.tasks.len() {
+            break;
+        }
+        change(&mut room, members, &victims[position], true);
+        chosen.push(position);
+    }
+    if slots(&room) < unit.tasks.len() {
+        return None;
+    }
+    // The first victims may be unnecessary once later ones made room for everything.
+    let mut needed = chosen.clone();
+    for position in chosen {
+        change(&mut room, members, &victims[position], false);
+        if slots(&room) >= unit.tasks.len() {
+            needed.retain(|kept| *kept != position);
+        } else {
+            change(&mut room, members, &victims[position], true);
+        }
+    }
+    let all: Vec<usize> = (0..room.len()).collect();
+    let places = place::fit(unit, &room, &all, Room::Soon)?;
+    let places = places.into_iter().map(|place| members[place]).collect();
+    let cost = needed.iter().map(|position| victims[*position].waste).sum();
+    Some((cost, needed, places))
+}
+
+/// Frees the room of a victim, or takes it back.
+fn change(room: &mut [Host<'_>], members: &[usize], victim: &Victim, free: bool) {
+    for (host, need) in &victim.rooms {
+        let Some(place) = members.iter().position(|member| member == host) else {
+            continue;
+        };
+        if free {
+            room[place].soon += *need;
+        } else {
+            room[place].soon -= *need;
+        }
+    }
+}
--- /dev/null
+++ b/crates/plan/src/reclaim/mod.rs
@@ -0,0 +1,6 @@
+//! Which running work is stopped to make room for urgent work.
+
+mod choose;
+mod victim;
+
+pub use {choose::choose, victim::Victim};
--- /dev/null
+++ b/crates/plan/src/reclaim/victim.rs
@@ -0,0 +1,22 @@
+use work::{id, job::Need};
+
+/// Running work that can be stopped: a single run, or all members of a gang.
+#[derive(Clone, Debug)]
+pub struct Victim {
+    /// The runs.
+    pub runs: Vec<(id::Task, u32)>,
+    /// The room of each, with the position of its upstream among the hosts.
+    pub rooms: Vec<(usize, Need)>,
+    /// Priority of its queue.
+    pub priority: u8,
+    /// Core-seconds that would be thrown away.
+    pub waste: f64,
+}
+
+impl Victim {
+    /// Accelerators that it holds on the given hosts.
+    pub fn accelerators(&self, hosts: &[usize]) -> i64 {
+        let rooms = self.rooms.iter().filter(|(host, _)| hosts.contains(host));
+        rooms.map(|(_, room)| room.accelerators).sum()
+    }
+}
--- a/crates/quorum/src/member/change.rs
+++ b/crates/quorum/src/member/change.rs
@@ -11,6 +11,14 @@
     /// Make a learner a voter and remove every other pair with its id. Refused until the learner
     /// holds everything that was committed when the change was proposed.
     Promote(Member),
+    /// Make a learner a voter in place of a voter that is gone, so that the number of voters stays the same.
+    /// Refused as a [`Change::Promote`] is.
+    Replace {
+        /// Becomes a voter.
+        learner: Member,
+        /// Leaves the group.
+        voter: Member,
+    },
     /// Remove a voter or learner.
     Remove(Member),
 }
@@ -27,6 +35,14 @@
                 next.learners.retain(|learner| learner.id != member.id);
                 next.learners.push(member);
             }
+            Change::Replace { learner, voter } => {
+                if !members.is_learner(learner) || !members.voters.contains(&voter) {
+                    return Err(Refusal::UnknownMember);
+                }
+                next.learners.retain(|member| *member != learner);
+                next.voters.retain(|member| *member != voter);
+                next.voters.push(learner);
+            }
             Change::Promote(member) => {
                 if members.voters.contains(&member) {
                     return Err(Refusal::AlreadyMember);
--- a/crates/quorum/src/node/propose.rs
+++ b/crates/quorum/src/node/propose.rs
@@ -63,7 +63,14 @@
     /// Refuses to promote a learner that does not hold everything committed now: a voter without it
     /// would count as a copy that does not exist.
     fn lacks_entries(&self, change: Change) -> Option<Refusal> {
-        let (Change::Promote(member), Role::Leader(lead)) = (change, &self.role) else {
+        let member = match change {
+            Change::Promote(member)
+            | Change::Replace {
+                learner: member, ..
+            } => member,
+            Change::Join(_) | Change::Remove(_) => return None,
+        };
+        let Role::Leader(lead) = &self.role else {
             return None;
         };
         if !self.log.members().is_learner(member) || self.has_fault(Fault::EarlyPromotion) {
--- a/crates/control/src/group/codec.rs
+++ b/crates/replica/src/codec.rs
@@ -1,10 +1,12 @@
+//! Encoding of consensus state for the disk.
+
 use {
     super::Error,
     quorum::{Entry, Hard, Members, Payload, Snapshot, Stable},
 };
 
 /// Appends entries to the store; they are durable after its next sync.
-pub(super) fn append(store: &mut disk::Store, entries: &[Entry]) -> Result<(), Error> {
+pub fn append(store: &mut disk::Store, entries: &[Entry]) -> Result<(), Error> {
     let payloads = entries
         .iter()
         .map(|entry| postcard::to_stdvec(&entry.payload))
@@ -18,17 +20,17 @@
 }
 
 /// Encodes the hard state.
-pub(super) fn hard(hard: &Hard) -> Result<Vec<u8>, Error> {
+pub fn hard(hard: &Hard) -> Result<Vec<u8>, Error> {
     Ok(postcard::to_stdvec(hard)?)
 }
 
 /// Encodes the member list and the data of a snapshot.
-pub(super) fn snapshot(snapshot: &Snapshot) -> Result<Vec<u8>, Error> {
+pub fn snapshot(snapshot: &Snapshot) -> Result<Vec<u8>, Error> {
     Ok(postcard::to_stdvec(&(&snapshot.members, &snapshot.data))?)
 }
 
 /// Converts what the disk holds to the stable state of a replica.
-pub(super) fn stable(incarnation: u64, contents: disk::Contents) -> Result<Stable, Error> {
+pub fn stable(incarnation: u64, contents: disk::Contents) -> Result<Stable, Error> {
     let hard = match contents.hard {
         Some(bytes) => postcard::from_bytes(&bytes)?,
         None => Hard::default(),
--- a/crates/control/src/group/driver.rs
+++ b/crates/replica/src/driver.rs
@@ -1,9 +1,5 @@
 use {
-    super::{Error, Setup, View, codec, input::Input},
-    crate::{
-        peers::Peers,
-        state::{Answer, State},
-    },
+    super::{Error, Machine, Post, Setup, View, codec, input::Input},
     indexmap::IndexMap,
     model::clock::Clock,
     quorum::{
@@ -50,17 +46,17 @@
     name: String,
     node: Node,
     store: disk::Store,
-    state: Arc<State>,
+    machine: Arc<dyn Machine>,
     view: Arc<Mutex<View>>,
     clock: Arc<dyn Clock>,
-    peers: Peers,
+    post: Arc<dyn Post>,
     settings: Settings,
     /// Time of the node's last step.
     stepped: Instant,
     tick: Duration,
     next_ticket: u64,
     waiters: IndexMap<u64, Waiter>,
-    answers: IndexMap<u64, Answer>,
+    answers: IndexMap<u64, Vec<u8>>,
     outbox: IndexMap<u64, Vec<Vec<u8>>>,
     /// Bytes of the commands taken in this round.
     taken_bytes: u64,
@@ -78,6 +74,7 @@
         view.leader = None;
         view.leading_since = None;
         view.confirmed = None;
+        view.ended = true;
         view.stopped
             .get_or_insert_with(|| "the replica's thread has ended".into());
     }
@@ -88,7 +85,6 @@
         setup: Setup,
         stable: Stable,
         store: disk::Store,
-        state: Arc<State>,
         view: Arc<Mutex<View>>,
         ending: Arc<AtomicBool>,
     ) -> Driver {
@@ -105,10 +101,10 @@
             settings: setup.settings,
             stepped: now,
             store,
-            state,
+            machine: setup.machine,
             view,
             clock: setup.clock,
-            peers: setup.peers,
+            post: setup.post,
             tick,
             next_ticket: 0,
             waiters: IndexMap::new(),
@@ -290,7 +286,7 @@
         }
         self.answers.clear();
         for (to, messages) in self.outbox.drain(..) {
-            self.peers.deliver(to, &self.name, messages);
+            self.post.deliver(to, &self.name, messages);
         }
         Ok(())
     }
@@ -324,9 +320,7 @@
                 // Entries behind the snapshot may conflict with it. They are removed only after the
                 // snapshot is synced, because a crash in between must not lose acknowledged entries.
                 self.store.truncate_from(snapshot.index + 1)?;
-                self.state
-                    .restore(&snapshot.data)
-                    .map_err(|error| Error::State(error.to_string()))?;
+                self.machine.restore(&snapshot.data).map_err(Error::State)?;
                 self.applied = (snapshot.index, snapshot.term);
                 events.push_back(Event::Synced {
                     index: snapshot.index,
@@ -393,15 +387,14 @@
         self.unsaved_entries += 1;
         if let Payload::Command(command) = &entry.payload {
             self.unsaved_bytes += command.len();
-            let answer = self.state.apply(command);
-            if let Answer::Malformed(error) = &answer {
-                log::error!(
-                    "event=command_malformed group={} index={} error=\"{error}\"",
+            match self.machine.apply(command, !self.waiters.is_empty()) {
+                Ok(answer) => drop(self.answers.insert(entry.index, answer)),
+                Err(error) => log::error!(
+                    "event=command_not_applied group={} index={} error=\"{error}\"",
                     self.name,
                     entry.index
-                );
+                ),
             }
-            self.answers.insert(entry.index, answer);
         }
     }
 
@@ -425,15 +418,10 @@
 
     fn verdict(&mut self, outcome: Outcome) -> Verdict {
         match outcome {
-            Outcome::Committed { index } => {
-                let Some(answer) = self.answers.swap_remove(&index) else {
-                    return Verdict::Unknown("the answer of the command was lost".into());
-                };
-                match serde_json::to_vec(&answer) {
-                    Ok(bytes) => Verdict::Answer(bytes),
-                    Err(error) => Verdict::Unknown(error.to_string()),
-                }
-            }
+            Outcome::Committed { index } => match self.answers.swap_remove(&index) {
+                Some(answer) => Verdict::Answer(answer),
+                None => Verdict::Unknown("the answer of the command was lost".into()),
+            },
             Outcome::ReadReady { .. } => Verdict::Answer(Vec::new()),
             Outcome::NotLeader { leader } => Verdict::NotLeader(leader),
             Outcome::Lost => {
@@ -450,10 +438,7 @@
         }
         self.unsaved_entries = 0;
         self.unsaved_bytes = 0;
-        let data = self
-            .state
-            .save()
-            .map_err(|error| Error::State(error.to_string()))?;
+        let data = self.machine.save().map_err(Error::State)?;
         let (index, term) = self.applied;
         Ok(Some(Event::Compacted { index, term, data }))
     }
--- /dev/null
+++ b/crates/replica/src/group.rs
@@ -0,0 +1,203 @@
+use {
+    super::{Error, Machine, Post, View, codec, driver::Driver, input::Input},
+    model::clock::Clock,
+    quorum::{Change, Member, Members, Settings, Stable},
+    std::{
+        sync::{
+            Arc, Mutex, PoisonError,
+            atomic::{AtomicBool, Ordering},
+            mpsc,
+        },
+        thread,
+        time::Duration,
+    },
+    tokio::sync::oneshot,
+    wire::Verdict,
+};
+
+/// Messages and proposals waiting for a replica's thread beyond which new ones are refused.
+const MAX_QUEUED_INPUTS: usize = 4096;
+
+/// What a replica needs to start.
+pub struct Setup {
+    /// Name of the group.
+    pub name: String,
+    /// Id of this instance.
+    pub id: u64,
+    /// Timing and sizes.
+    pub settings: Settings,
+    /// Source of time.
+    pub clock: Arc<dyn Clock>,
+    /// Connections to the other replicas.
+    pub post: Arc<dyn Post>,
+    /// The replicated state, empty.
+    pub machine: Arc<dyn Machine>,
+    /// The member list of a new group, for a disk that holds nothing. Every replica that starts this way must
+    /// be given the same list.
+    pub first: Option<Members>,
+}
+
+/// A running replica.
+#[derive(Clone)]
+pub struct Group {
+    name: Arc<str>,
+    member: Member,
+    inputs: mpsc::SyncSender<Input>,
+    view: Arc<Mutex<View>>,
+    ending: Arc<AtomicBool>,
+    clock: Arc<dyn Clock>,
+    /// Time between the end of a lease and the earliest election of another leader.
+    margin: Duration,
+    /// Whether the disk held something of the group at the start.
+    holds: bool,
+}
+
+impl Group {
+    /// Loads what the disk holds and starts the replica's thread.
+    pub fn spawn(folder: &disk::Folder, setup: Setup) -> Result<Group, Error> {
+        let (store, contents) = disk::Store::open(folder, &setup.name)?;
+        let mut store = store;
+        let mut stable = codec::stable(folder.incarnation(), contents)?;
+        if let Some(members) = setup.first.clone().filter(|_| is_empty(&stable)) {
+            stable = Stable::bootstrap(stable.incarnation, members);
+            codec::append(&mut store, &stable.entries)?;
+            store.sync()?;
+        }
+        let member = Member {
+            id: setup.id,
+            incarnation: stable.incarnation,
+        };
+        if let Some(snapshot) = &stable.snapshot {
+            setup
+                .machine
+                .restore(&snapshot.data)
+                .map_err(Error::State)?;
+        }
+        let holds = !is_empty(&stable);
+        let view = Arc::new(Mutex::new(View::default()));
+        let margin = setup
+            .settings
+            .election_min
+            .saturating_sub(setup.settings.lease());
+        let clock = setup.clock.clone();
+        let (inputs, receiver) = mpsc::sync_channel(MAX_QUEUED_INPUTS);
+        let name: Arc<str> = setup.name.as_str().into();
+        let ending = Arc::new(AtomicBool::new(false));
+        let driver = Driver::new(setup, stable, store, view.clone(), ending.clone());
+        thread::Builder::new()
+            .name(format!("group-{name}"))
+            .spawn(move || driver.run(&receiver))
+            .map_err(Error::Thread)?;
+        Ok(Group {
+            name,
+            member,
+            inputs,
+            view,
+            ending,
+            clock,
+            margin,
+            holds,
+        })
+    }
+
+    /// The group's name.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// This replica's id and incarnation.
+    pub fn member(&self) -> Member {
+        self.member
+    }
+
+    /// What the replica knew after its last step.
+    pub fn view(&self) -> View {
+        self.view
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    /// Tells whether this replica leads now, and not only at its last step: its thread may be waiting for
+    /// the disk.
+    pub fn leads(&self) -> bool {
+        let confirmed = self.view().confirmed;
+        confirmed.is_some_and(|at| self.clock.now() < at + self.margin)
+    }
+
+    /// Tells whether the replica's thread has ended, by order or because of a failure.
+    pub fn has_ended(&self) -> bool {
+        self.view().ended
+    }
+
+    /// Tells whether this replica holds something of its group, or has heard of a leader or candidate.
+    pub fn holds(&self) -> bool {
+        let view = self.view();
+        self.holds || view.last > 0 || view.term > 0
+    }
+
+    /// Forms the group with this replica as its only voter, unless it holds something of the group.
+    ///
+    /// The caller makes sure that no other instance holds the group.
+    pub fn found(&self) {
+        drop(self.inputs.try_send(Input::Found));
+    }
+
+    /// Hands over messages of another replica; drops them when too many are waiting.
+    pub fn deliver(&self, sender: u64, messages: Vec<Vec<u8>>) {
+        drop(self.inputs.try_send(Input::Deliver { sender, messages }));
+    }
+
+    /// Proposes a command and waits until it is applied or known to be refused.
+    pub async fn propose(&self, command: Vec<u8>) -> Verdict {
+        let (reply, verdict) = oneshot::channel();
+        if self
+            .inputs
+            .try_send(Input::Propose { command, reply })
+            .is_err()
+        {
+            return Verdict::NotRun(format!(
+                "too many commands wait for the group {}",
+                self.name
+            ));
+        }
+        verdict
+            .await
+            .unwrap_or_else(|_| Verdict::Unknown(format!("the replica of {} stopped", self.name)))
+    }
+
+    /// Waits until the local state may be read linearizably; the verdict says why it may not.
+    pub async fn read(&self) -> Result<(), Verdict> {
+        let stopped = || Verdict::NotRun(format!("the replica of {} is not running", self.name));
+        let (reply, barrier) = oneshot::channel();
+        if self.inputs.try_send(Input::Read { reply }).is_err() {
+            return Err(stopped());
+        }
+        match barrier.await {
+            Ok(None) => Ok(()),
+            Ok(Some(refusal)) => Err(refusal),
+            Err(_) => Err(stopped()),
+        }
+    }
+
+    /// Asks for a membership change if this replica leads.
+    pub fn change(&self, change: Change) {
+        drop(self.inputs.try_send(Input::Change(change)));
+    }
+
+    /// Hands leadership to another voter, if this replica leads.
+    pub fn resign(&self) {
+        drop(self.inputs.try_send(Input::Resign));
+    }
+
+    /// Ends the replica's thread.
+    pub fn stop(&self) {
+        self.ending.store(true, Ordering::Relaxed);
+        // The thread also looks at the flag, in case the queue is full.
+        drop(self.inputs.try_send(Input::Stop));
+    }
+}
+
+fn is_empty(stable: &Stable) -> bool {
+    stable.entries.is_empty() && stable.snapshot.is_none() && stable.hard == Default::default()
+}
--- a/crates/control/src/group/view.rs
+++ b/crates/replica/src/view.rs
@@ -19,6 +19,8 @@
     pub applied: u64,
     /// Voters, learners and the list being replaced.
     pub members: Members,
+    /// Whether the replica's thread has ended.
+    pub ended: bool,
     /// Why the replica stopped, if it did.
     pub stopped: Option<String>,
 }
--- /dev/null
+++ b/crates/work/src/book/apply.rs
@@ -0,0 +1,470 @@
+use {
+    super::{
+        Answer, Book, Command, Job, Live, Occurrence, Placement, Run, State, Step, book::Known,
+    },
+    crate::{
+        config::Config,
+        id,
+        job::Form,
+        upstream::{End, How, Upstream},
+    },
+    indexmap::IndexMap,
+};
+
+impl Book {
+    /// Applies a committed command.
+    pub fn apply(&mut self, command: Command) -> Answer {
+        self.changes += 1;
+        match command {
+            Command::Configure { at_ms, config } => {
+                self.advance(at_ms);
+                self.configure(*config);
+                Answer::Done
+            }
+            Command::Submit {
+                at_ms,
+                job,
+                account,
+                queue,
+                form,
+            } => {
+                self.advance(at_ms);
+                self.submit(job, account, queue, *form)
+            }
+            Command::Cancel { at_ms, job } => {
+                self.advance(at_ms);
+                match self.jobs.contains_key(&job) {
+                    true => {
+                        self.end_job(job, State::Cancelled);
+                        Answer::Cancelled
+                    }
+                    false => Answer::Missing,
+                }
+            }
+            Command::Register { upstream } => {
+                self.register(*upstream);
+                Answer::Done
+            }
+            Command::Leave { upstream, born_ms } => {
+                self.forget(&upstream, born_ms);
+                Answer::Done
+            }
+            Command::Progress { at_ms, steps } => {
+                self.advance(at_ms);
+                let mut runs = Vec::new();
+                for step in steps {
+                    self.step_forward(step, &mut runs);
+                }
+                Answer::Runs(runs)
+            }
+        }
+    }
+
+    /// Encodes the state for a snapshot.
+    pub fn save(&self) -> Result<Vec<u8>, postcard::Error> {
+        postcard::to_stdvec(self)
+    }
+
+    /// Reads the state from a snapshot.
+    pub fn load(bytes: &[u8]) -> Result<Book, postcard::Error> {
+        let mut book: Book = postcard::from_bytes(bytes)?;
+        book.index();
+        Ok(book)
+    }
+
+    /// The agreed time never goes back.
+    fn advance(&mut self, at_ms: u64) {
+        self.time_ms = self.time_ms.max(at_ms);
+    }
+
+    fn configure(&mut self, config: Config) {
+        if self
+            .config
+            .as_ref()
+            .is_some_and(|held| held.version >= config.version)
+        {
+            return;
+        }
+        for queue in &config.queues {
+            self.queues.insert(queue.name.clone(), queue.clone());
+        }
+        self.config = Some(config);
+        self.drop_unused_queues();
+    }
+
+    /// Keeps dropped queues only while a job of theirs is kept.
+    fn drop_unused_queues(&mut self) {
+        let Some(config) = &self.config else {
+            return;
+        };
+        let jobs = &self.jobs;
+        self.queues.retain(|name, _| {
+            config.queues.iter().any(|queue| queue.name == *name)
+                || jobs.values().any(|job| job.queue == *name)
+        });
+    }
+
+    fn submit(
+        &mut self,
+        id: id::Job,
+        account: Option<String>,
+        queue: String,
+        form: Form,
+    ) -> Answer {
+        if let Some(known) = self.jobs.get(&id) {
+            return match known.queue == queue && known.account == account {
+                true => Answer::Accepted,
+                false => Answer::Taken,
+            };
+        }
+        let job = Job {
+            id,
+            account,
+            queue,
+            form: form.into(),
+            accepted_ms: self.time_ms,
+            ended_ms: None,
+            state: State::Open,
+            begun: false,
+            occurrences: IndexMap::new(),
+            finished: Vec::new(),
+        };
+        self.jobs.insert(id, job);
+        self.open.insert(id);
+        Answer::Accepted
+    }
+
+    /// Ends a job that has not ended. Its runs stay in the book until they have ended too.
+    fn end_job(&mut self, id: id::Job, state: State) {
+        let time_ms = self.time_ms;
+        if let Some(job) = self.jobs.get_mut(&id)
+            && job.state == State::Open
+        {
+            job.state = state;
+            job.ended_ms = Some(time_ms);
+            self.open.shift_remove(&id);
+        }
+    }
+
+    /// Takes down an upstream unless a later life of it is known. A draining life never takes work again.
+    fn register(&mut self, mut upstream: Upstream) {
+        let known = self.upstreams.get_mut(&upstream.id);
+        match known {
+            Some(known) if known.upstream.born_ms > upstream.born_ms => {}
+            Some(known) if known.upstream.born_ms == upstream.born_ms => {
+                upstream.draining |= known.upstream.draining;
+                known.upstream = upstream;
+            }
+            _ => {
+                let id = upstream.id.clone();
+                let last_end = 0;
+                self.upstreams.insert(id, Known { upstream, last_end });
+            }
+        }
+    }
+
+    /// Removes an upstream and all that ran on it.
+    fn forget(&mut self, id: &id::Upstream, born_ms: u64) {
+        if !self
+            .upstreams
+            .get(id)
+            .is_some_and(|known| known.upstream.born_ms == born_ms)
+        {
+            return;
+        }
+        self.upstreams.shift_remove(id);
+        let runs: Vec<_> = self.live_on(id).map(|(run, _)| *run).collect();
+        for (task, run) in runs {
+            self.remove_run(&task, run);
+        }
+    }
+
+    fn step_forward(&mut self, step: Step, runs: &mut Vec<(id::Task, Option<u32>)>) {
+        match step {
+            Step::Assign(placements) => self.assign(placements, runs),
+            Step::Ended {
+                upstream,
+                born_ms,
+                ends,
+            } => self.take_ends(&upstream, born_ms, ends),
+            Step::Void {
+                task,
+                run,
+                checkpoint,
+                ..
+            } => {
+                if self.remove_run(&task, run).is_some() {
+                    self.keep_checkpoint(&task, checkpoint);
+                }
+            }
+            Step::Moved { task, run, born_ms } => self.rebind(&task, run, born_ms),
+            Step::Expire { before_ms } => {
+                self.jobs.retain(|_, job| {
+                    job.ended_ms.is_none_or(|ended_ms| ended_ms >= before_ms)
+                        || job.live_runs().next().is_some()
+                });
+                self.drop_unused_queues();
+            }
+            Step::Forget { upstream, born_ms } => self.forget(&upstream, born_ms),
+        }
+    }
+
+    /// Begins runs of tasks that may be started; either all placements of the step or none.
+    fn assign(&mut self, placements: Vec<Placement>, runs: &mut Vec<(id::Task, Option<u32>)>) {
+        let allowed = placements
+            .iter()
+            .all(|placement| self.may_assign(placement))
+            && self.is_whole_gang(&placements);
+        for placement in placements {
+            let number = if allowed {
+                self.begin_run(&placement)
+            } else {
+                None
+            };
+            runs.push((placement.task, number));
+        }
+    }
+
+    fn may_assign(&self, placement: &Placement) -> bool {
+        let task = &placement.task;
+        let Some(job) = self.jobs.get(&task.job) else {
+            return false;
+        };
+        let Some(step) = job.step(task) else {
+            return false;
+        };
+        let known = self.upstreams.get(&placement.upstream);
+        if job.state != State::Open
+            || task.index >= step.count
+            || !job.is_pending(task.occurrence)
+            || !known.is_some_and(|known| known.upstream.born_ms == placement.born_ms)
+        {
+            return false;
+        }
+        let Some(occurrence) = job.occurrences.get(&task.occurrence) else {
+            return step.after.is_empty();
+        };
+        let progress = self.task(task);
+        occurrence.is_open(&job.form, usize::from(task.step))
+            && progress.is_some_and(|progress| {
+                !progress.done && (progress.live.is_empty() || (step.copies && !step.gang))
+            })
+    }
+
+    /// A gang is assigned as a whole.
+    fn is_whole_gang(&self, placements: &[Placement]) -> bool {
+        let Some(first) = placements.first() else {
+            return true;
+        };
+        let Some(step) = self.step(&first.task) else {
+            return false;
+        };
+        !step.gang || placements.len() == usize::from(step.count)
+    }
+
+    fn begin_run(&mut self, placement: &Placement) -> Option<u32> {
+        let time_ms = self.time_ms;
+        let task = placement.task;
+        let job = self.jobs.get_mut(&task.job)?;
+        let form = job.form.clone();
+        let step = form.steps.get(usize::from(task.step))?;
+        let occurrence = job
+            .occurrences
+            .entry(task.occurrence)
+            .or_insert_with(|| Occurrence::new(&form));
+        let progress = occurrence.steps.get_mut(usize::from(task.step))?;
+        let is_first_member = task.index == 0;
+        if step.gang && is_first_member {
+            let last = progress.tasks.iter().map(|task| task.last_run).max();
+            progress.gang_run = progress.gang_run.max(last.unwrap_or(0)) + 1;
+        }
+        let gang_run = progress.gang_run;
+        let state = progress.tasks.get_mut(usize::from(task.index))?;
+        let number = if step.gang {
+            gang_run
+        } else {
+            state.last_run + 1
+        };
+        state.last_run = number;
+        state.live.push(Run {
+            number,
+            upstream: placement.upstream.clone(),
+            born_ms: placement.born_ms,
+            assigned_ms: time_ms,
+        });
+        job.begun = true;
+        let live = Live {
+            room: step.room(),
+            born_ms: placement.born_ms,
+        };
+        let runs = self.live.entry(placement.upstream.clone()).or_default();
+        runs.insert((task, number), live);
+        Some(number)
+    }
+
+    /// Takes a run out of the book; returns it if it was there.
+    fn remove_run(&mut self, task: &id::Task, number: u32) -> Option<Run> {
+        let job = self.jobs.get_mut(&task.job)?;
+        let occurrence = job.occurrences.get_mut(&task.occurrence)?;
+        let progress = occurrence.steps.get_mut(usize::from(task.step))?;
+        let state = progress.tasks.get_mut(usize::from(task.index))?;
+        let position = state.live.iter().position(|run| run.number == number)?;
+        let run = state.live.remove(position);
+        if let Some(runs) = self.live.get_mut(&run.upstream) {
+            runs.swap_remove(&(*task, number));
+            if runs.is_empty() {
+                self.live.swap_remove(&run.upstream);
+            }
+        }
+        Some(run)
+    }
+
+    fn rebind(&mut self, task: &id::Task, number: u32, born_ms: u64) {
+        let Some(run) = self.remove_run(task, number) else {
+            return;
+        };
+        let Some(room) = self.step(task).map(|step| step.room()) else {
+            return;
+        };
+        let upstream = run.upstream.clone();
+        let moved = Run { born_ms, ..run };
+        let state = self
+            .jobs
+            .get_mut(&task.job)
+            .and_then(|job| job.occurrences.get_mut(&task.occurrence))
+            .and_then(|occurrence| occurrence.steps.get_mut(usize::from(task.step)))
+            .and_then(|progress| progress.tasks.get_mut(usize::from(task.index)));
+        if let Some(state) = state {
+            state.live.push(moved);
+            let runs = self.live.entry(upstream).or_default();
+            runs.insert((*task, number), Live { room, born_ms });
+        }
+    }
+
+    fn take_ends(&mut self, id: &id::Upstream, born_ms: u64, ends: Vec<End>) {
+        for end in ends {
+            let Some(known) = self.upstreams.get_mut(id) else {
+                return;
+            };
+            if known.upstream.born_ms != born_ms || end.number <= known.last_end {
+                continue;
+            }
+            known.last_end = end.number;
+            let here = self
+                .run(&end.task, end.run)
+                .is_some_and(|run| run.upstream == *id && run.born_ms == born_ms);
+            if here {
+                self.take_end(id, end);
+            }
+        }
+    }
+
+    /// Takes note of the end of a run that the book holds.
+    fn take_end(&mut self, id: &id::Upstream, end: End) {
+        self.remove_run(&end.task, end.run);
+        match end.how {
+            How::Done => self.finish_task(&end.task),
+            How::Failed => self.fail_task(id, &end),
+            How::Stopped | How::Lapsed | How::Broken | How::Alone => {}
+        }
+        if end.how != How::Done {
+            self.keep_checkpoint(&end.task, end.checkpoint);
+        }
+    }
+
+    /// Marks a task, or the whole gang that it belongs to, as done.
+    fn finish_task(&mut self, task: &id::Task) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let form = job.form.clone();
+        let Some(step) = form.steps.get(usize::from(task.step)) else {
+            return;
+        };
+        if step.lasting {
+            return;
+        }
+        let Some(occurrence) = job.occurrences.get_mut(&task.occurrence) else {
+            return;
+        };
+        if let Some(progress) = occurrence.steps.get_mut(usize::from(task.step)) {
+            for (index, state) in progress.tasks.iter_mut().enumerate() {
+                state.done |= step.gang || index == usize::from(task.index);
+            }
+        }
+        if occurrence.is_done() && !job.finished.contains(&task.occurrence) {
+            job.finished.push(task.occurrence);
+            if job.finished.len() as u32 >= form.occurrences() {
+                self.end_job(task.job, State::Completed);
+            }
+        }
+    }
+
+    /// Counts a failed run, once for all members of a gang.
+    fn fail_task(&mut self, id: &id::Upstream, end: &End) {
+        let task = &end.task;
+        let attempts = self
+            .jobs
+            .get(&task.job)
+            .and_then(|job| self.queues.get(&job.queue))
+            .map_or(u32::MAX, |queue| queue.attempts.max(1));
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let form = job.form.clone();
+        let (Some(step), Some(progress)) = (
+            form.steps.get(usize::from(task.step)),
+            job.occurrences
+                .get_mut(&task.occurrence)
+                .and_then(|occurrence| occurrence.steps.get_mut(usize::from(task.step))),
+        ) else {
+            return;
+        };
+        let failures = if step.gang {
+            if progress.gang_failed_run != end.run {
+                progress.gang_failed_run = end.run;
+                progress.gang_failures += 1;
+            }
+            progress.gang_failures
+        } else {
+            match progress.tasks.get_mut(usize::from(task.index)) {
+                Some(state) => {
+                    state.failures += 1;
+                    state.failures
+                }
+                None => return,
+            }
+        };
+        if let Some(state) = progress.tasks.get_mut(usize::from(task.index))
+            && !state.failed_on.contains(id)
+        {
+            state.failed_on.push(id.clone());
+        }
+        if failures >= attempts && !step.lasting {
+            self.end_job(task.job, State::Failed);
+        }
+    }
+
+    /// Keeps a checkpoint for the next run; that of any member serves the whole gang.
+    fn keep_checkpoint(&mut self, task: &id::Task, checkpoint: String) {
+        if checkpoint.is_empty() {
+            return;
+        }
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let gang = job.step(task).is_some_and(|step| step.gang);
+        let Some(progress) = job
+            .occurrences
+            .get_mut(&task.occurrence)
+            .and_then(|occurrence| occurrence.steps.get_mut(usize::from(task.step)))
+        else {
+            return;
+        };
+        for (index, state) in progress.tasks.iter_mut().enumerate() {
+            if gang || index == usize::from(task.index) {
+                state.checkpoint.clone_from(&checkpoint);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/work/src/id/task.rs
@@ -0,0 +1,50 @@
+use {
+    super::{Error, Job},
+    serde::{Deserialize, Serialize},
+    std::{fmt, str::FromStr},
+};
+
+/// Name of one task of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Task {
+    /// The job.
+    pub job: Job,
+    /// Number of the occurrence; 0 for a job without repeats.
+    pub occurrence: u32,
+    /// Number of the step in the job.
+    pub step: u16,
+    /// Number of the task in the step.
+    pub index: u16,
+}
+
+impl fmt::Display for Task {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Task {
+            job,
+            occurrence,
+            step,
+            index,
+        } = self;
+        write!(f, "{job}.{occurrence}.{step}.{index}")
+    }
+}
+
+impl FromStr for Task {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Task, Error> {
+        let invalid = || Error::Task(text.chars().take(64).collect());
+        let mut parts = text.split('.');
+        let mut next = || parts.next().ok_or_else(invalid);
+        let task = Task {
+            job: next()?.parse().map_err(|_| invalid())?,
+            occurrence: next()?.parse().map_err(|_| invalid())?,
+            step: next()?.parse().map_err(|_| invalid())?,
+            index: next()?.parse().map_err(|_| invalid())?,
+        };
+        match parts.next() {
+            None => Ok(task),
+            Some(_) => Err(invalid()),
+        }
+    }
+}
