--- /dev/null
+++ b/crates/sim/src/load.rs
@@ -0,0 +1,178 @@
+use {
+    crate::Truth,
+    rand::{RngExt, SeedableRng, rngs::StdRng},
+    work::{
+        id,
+        job::{Form, Need, Step},
+    },
+};
+
+/// One kind of job, after the users' sheets.
+#[derive(Clone, Debug)]
+pub struct Kind {
+    /// Queue that takes it.
+    pub queue: &'static str,
+    /// Jobs a second.
+    pub rate: f64,
+    /// Mean number of tasks.
+    pub width: f64,
+    /// Mean work of a task in milliseconds.
+    pub work_ms: f64,
+    /// Room of a task, less its accelerators.
+    pub room: Need,
+    /// Numbers of accelerators of a task, one of which is drawn.
+    pub accelerators: &'static [i64],
+    /// Whether the tasks work only together.
+    pub gang: bool,
+    /// Share of gangs that want one rack.
+    pub same_rack: f64,
+    /// Share of jobs whose tasks save checkpoints.
+    pub saves: f64,
+    /// How far estimates are off: by a factor of up to one and this, either way.
+    pub estimate_off: f64,
+    /// Share of first runs that fail by the job's own fault.
+    pub failing: f64,
+    /// Worth within the objective and when late.
+    pub worth: (f64, f64),
+}
+
+/// A load: kinds of jobs, and times at which more of one of them come.
+#[derive(Clone, Debug)]
+pub struct Load {
+    /// The kinds.
+    pub kinds: Vec<Kind>,
+    /// Multiplies all rates.
+    pub scale: f64,
+    /// Index of a kind, start and end in milliseconds, factor of its rate.
+    pub burst: Option<(usize, u64, u64, f64)>,
+    /// Length in milliseconds.
+    pub length_ms: u64,
+}
+
+/// A job that arrives.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// When, in milliseconds.
+    pub at_ms: u64,
+    /// Its id.
+    pub job: id::Job,
+    /// Its kind.
+    pub kind: usize,
+    /// Account of the caller.
+    pub account: String,
+    /// What is asked for.
+    pub form: Form,
+    /// What it really is.
+    pub truth: Truth,
+}
+
+impl Load {
+    /// The planning platform's load: short gangs of priority 0, long gangs of priority 1, sweeps of priority 2.
+    pub fn planning() -> Load {
+        let room = |cpu_milli, memory_mb| Need {
+            cpu_milli,
+            memory_mb,
+            accelerators: 0,
+        };
+        let gang = |queue, rate, width, work_ms, room, same_rack, saves, estimate_off, worth| Kind {
+            queue,
+            rate,
+            width,
+            work_ms,
+            room,
+            accelerators: &[1, 2, 4, 8, 8],
+            gang: true,
+            same_rack,
+            saves,
+            estimate_off,
+            failing: 0.04,
+            worth,
+        };
+        Load {
+            kinds: vec![
+                gang("short", 1.68, 3.0, 2100.0, room(3700, 9800), 0.8, 0.0, 0.2, (4.0, 0.8)),
+                gang("long", 0.55, 5.0, 7200.0, room(13000, 26000), 0.6, 0.45, 0.9, (3.0, 0.9)),
+                Kind {
+                    queue: "sweep",
+                    rate: 0.42,
+                    width: 16.0,
+                    work_ms: 8100.0,
+                    room: room(2800, 5700),
+                    accelerators: &[1],
+                    gang: false,
+                    same_rack: 0.0,
+                    saves: 0.45,
+                    estimate_off: 0.2,
+                    failing: 0.04,
+                    worth: (1.0, 0.3),
+                },
+            ],
+            scale: 1.0,
+            burst: None,
+            length_ms: 40_000,
+        }
+    }
+
+    /// Draws the arrivals of a seed.
+    pub fn draw(&self, seed: u64) -> Vec<Arrival> {
+        /// Step of the arrival process in milliseconds.
+        const STEP_MS: u64 = 10;
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut arrivals = Vec::new();
+        for at_ms in (0..self.length_ms).step_by(STEP_MS as usize) {
+            for (number, kind) in self.kinds.iter().enumerate() {
+                let burst = match self.burst {
+                    Some((of, from, to, factor)) if of == number && (from..to).contains(&at_ms) => factor,
+                    _ => 1.0,
+                };
+                let expected = kind.rate * self.scale * burst * STEP_MS as f64 / 1000.0;
+                if rng.random_bool(expected.min(1.0)) {
+                    arrivals.push(draw(kind, number, at_ms, &mut rng));
+                }
+            }
+        }
+        arrivals
+    }
+}
+
+fn draw(kind: &Kind, number: usize, at_ms: u64, rng: &mut StdRng) -> Arrival {
+    /// Share of tasks that take many times as long, and how many.
+    const TAIL: (f64, f64) = (0.03, 7.0);
+    let exponential = |rng: &mut StdRng| -rng.random_range(1e-6_f64..1.0).ln();
+    let count = (kind.width * (0.4 + 0.6 * exponential(rng))).round().clamp(1.0, kind.width * 6.0) as u16;
+    let mut work = kind.work_ms * rng.random_range(0.6..1.4);
+    if rng.random_bool(TAIL.0) {
+        work *= TAIL.1;
+    }
+    let works: Vec<u64> = (0..count).map(|_| (work * rng.random_range(0.85..1.15)) as u64).collect();
+    let off = 1.0 + rng.random_range(0.0..=kind.estimate_off);
+    let estimate = if rng.random_bool(0.5) { kind.work_ms * off } else { kind.work_ms / off };
+    let step = Step {
+        count,
+        need: Need {
+            accelerators: kind.accelerators[rng.random_range(0..kind.accelerators.len())],
+            ..kind.room
+        },
+        estimate_ms: estimate as u32,
+        checkpoints: rng.random_bool(kind.saves),
+        gang: kind.gang,
+        same_rack: kind.gang && rng.random_bool(kind.same_rack),
+        ..Step::default()
+    };
+    Arrival {
+        at_ms,
+        job: id::Job(rng.random()),
+        kind: number,
+        account: format!("account-{}", rng.random_range(0..4)),
+        form: Form {
+            spec: "work".into(),
+            steps: vec![step],
+            repeat: None,
+        },
+        truth: Truth {
+            work_ms: vec![works],
+            failures: vec![u32::from(rng.random_bool(kind.failing))],
+            hopeless: false,
+        },
+    }
+}
--- /dev/null
+++ b/crates/sim/src/oracle.rs
@@ -0,0 +1,182 @@
+use {
+    indexmap::{IndexMap, IndexSet},
+    std::fmt,
+    work::{
+        book::{Book, State},
+        id,
+        job::Need,
+        upstream::{End, How},
+    },
+};
+
+/// A broken promise.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Breach {
+    /// Two runs of a task at the same time.
+    Twice(id::Task),
+    /// A task was started after it was done.
+    Again(id::Task),
+    /// The tasks on an upstream need more than it has.
+    Overfull(id::Upstream),
+    /// A task was started before the steps that it waits for.
+    Early(id::Task),
+    /// A task was started after as many failures as its queue allows.
+    Budget(id::Task),
+    /// A member of a gang waited in vain for the others.
+    Alone(id::Task),
+    /// A task of a cancelled job was started too late.
+    Unasked(id::Task),
+    /// An upstream got new work too late after it had said that it leaves.
+    Drained(id::Upstream),
+    /// A lease ended although nothing was wrong.
+    Lapsed(id::Task),
+    /// A job had nothing running for long although there was room.
+    Idle(id::Job),
+    /// A job is shown as ended otherwise than its tasks did.
+    Shown(id::Job),
+}
+
+impl fmt::Display for Breach {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{self:?}")
+    }
+}
+
+/// Time after a cancelling within which a start may still arrive, in milliseconds.
+const CANCEL_MS: u64 = 3000;
+
+/// Time after the acknowledged draining within which a start may still arrive, in milliseconds.
+const DRAIN_MS: u64 = 2500;
+
+/// What upstreams see, checked against the promises.
+#[derive(Debug, Default)]
+pub struct Oracle {
+    /// Broken promises in the order in which they were seen.
+    pub breaches: Vec<Breach>,
+    /// Where each task runs.
+    running: IndexMap<id::Task, IndexSet<id::Upstream>>,
+    done: IndexSet<id::Task>,
+    /// Ends as failed, counted once for each run of a gang.
+    failed: IndexMap<id::Task, IndexSet<u32>>,
+    /// When jobs were cancelled and upstreams began to drain, in milliseconds.
+    cancelled: IndexMap<id::Job, u64>,
+    draining: IndexMap<id::Upstream, u64>,
+}
+
+impl Oracle {
+    /// An upstream begins a run. `room` is what all its runs take, this one included.
+    pub fn begun(
+        &mut self,
+        book: &Book,
+        at: &id::Upstream,
+        task: id::Task,
+        room: Need,
+        late: bool,
+        now_ms: u64,
+    ) {
+        let copies = book.step(&task).is_some_and(|step| step.copies);
+        let hosts = self.running.entry(task).or_default();
+        if !hosts.is_empty() && !copies {
+            self.breaches.push(Breach::Twice(task));
+        }
+        hosts.insert(at.clone());
+        if self.done.contains(&task) && !copies {
+            self.breaches.push(Breach::Again(task));
+        }
+        let capacity = book.upstream(at).map(|upstream| upstream.capacity);
+        if capacity.is_some_and(|capacity| !capacity.fits(&room)) {
+            self.breaches.push(Breach::Overfull(at.clone()));
+        }
+        if late {
+            return;
+        }
+        let Some(job) = book.job(task.job) else {
+            return;
+        };
+        let after = job.step(&task).map(|step| step.after.clone()).unwrap_or_default();
+        let earlier = self.done.iter().filter(|done| done.job == task.job);
+        let steps: Vec<u16> = earlier.map(|done| done.step).collect();
+        for step in after {
+            let count = job.form.steps.get(usize::from(step)).map_or(0, |step| step.count);
+            let done = steps.iter().filter(|done| **done == step).count();
+            if done < usize::from(count) {
+                self.breaches.push(Breach::Early(task));
+            }
+        }
+        let attempts = book.queue(&job.queue).map_or(1, |queue| queue.attempts) as usize;
+        if self.failed.get(&task).is_some_and(|runs| runs.len() >= attempts) {
+            self.breaches.push(Breach::Budget(task));
+        }
+        if self.cancelled.get(&task.job).is_some_and(|at| now_ms > at + CANCEL_MS) {
+            self.breaches.push(Breach::Unasked(task));
+        }
+        if self.draining.get(at).is_some_and(|at| now_ms > at + DRAIN_MS) {
+            self.breaches.push(Breach::Drained(at.clone()));
+        }
+    }
+
+    /// A run ended at an upstream. `excused` tells whether a fault of the day explains a lapse or a lonely member.
+    pub fn ended(&mut self, at: &id::Upstream, end: &End, excused: bool) {
+        if let Some(hosts) = self.running.get_mut(&end.task) {
+            hosts.shift_remove(at);
+        }
+        match end.how {
+            How::Done => drop(self.done.insert(end.task)),
+            How::Failed => drop(self.failed.entry(end.task).or_default().insert(end.run)),
+            How::Alone if !excused => self.breaches.push(Breach::Alone(end.task)),
+            How::Lapsed if !excused => self.breaches.push(Breach::Lapsed(end.task)),
+            _ => {}
+        }
+    }
+
+    /// An upstream lost all that ran on it.
+    pub fn lost(&mut self, at: &id::Upstream) {
+        for hosts in self.running.values_mut() {
+            hosts.shift_remove(at);
+        }
+    }
+
+    /// A cancelling was acknowledged.
+    pub fn cancelled(&mut self, job: id::Job, now_ms: u64) {
+        self.cancelled.entry(job).or_insert(now_ms);
+    }
+
+    /// An upstream's draining was acknowledged.
+    pub fn draining(&mut self, upstream: id::Upstream, now_ms: u64) {
+        self.draining.entry(upstream).or_insert(now_ms);
+    }
+
+    /// Checks what jobs are shown as at the end of the day.
+    pub fn finish(&mut self, book: &Book, jobs: impl IntoIterator<Item = id::Job>) {
+        for id in jobs {
+            let Some(job) = book.job(id) else {
+                self.breaches.push(Breach::Shown(id));
+                continue;
+            };
+            let all_done = job.form.steps.iter().enumerate().all(|(number, step)| {
+                let done = self.done.iter().filter(|task| task.job == id && usize::from(task.step) == number);
+                // The end of one member of a gang stands for all.
+                let count = done.count();
+                count >= usize::from(step.count) || (step.gang && count > 0)
+            });
+            let cancelled = self.cancelled.contains_key(&id);
+            let attempts = book.queue(&job.queue).map_or(1, |queue| queue.attempts) as usize;
+            let mut runs: IndexMap<(u16, u16), IndexSet<u32>> = IndexMap::new();
+            for (task, failed) in self.failed.iter().filter(|(task, _)| task.job == id) {
+                let gang = job.step(task).is_some_and(|step| step.gang);
+                let key = (task.step, if gang { 0 } else { task.index });
+                runs.entry(key).or_default().extend(failed);
+            }
+            let failed = runs.values().any(|runs| runs.len() >= attempts);
+            let right = match job.state {
+                State::Completed => all_done,
+                State::Cancelled => cancelled,
+                State::Failed => failed,
+                State::Open => true,
+            };
+            if !right {
+                self.breaches.push(Breach::Shown(id));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/sim/tests/promises.rs
@@ -0,0 +1,89 @@
+//! Days with faults on a virtual clock: whatever goes wrong, no promise of the scheduler is broken.
+
+use {
+    rand::{RngExt, SeedableRng, rngs::StdRng},
+    sim::{Breach, Faults, Load, Setup, Trouble, World},
+    work::id,
+};
+
+/// Arrivals end here; the rest of the day lets things settle.
+const LOAD_MS: u64 = 20_000;
+const DAY_MS: u64 = 45_000;
+
+fn load() -> Load {
+    Load {
+        length_ms: LOAD_MS,
+        ..Load::planning()
+    }
+}
+
+fn host(rng: &mut StdRng) -> id::Upstream {
+    id::Upstream::from(format!("u{}", rng.random_range(0..24)))
+}
+
+/// A day with troubles drawn from the seed, on half of the usual number of upstreams so that they are busy.
+fn drawn(seed: u64) -> World {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let jobs = load().draw(seed);
+    let mut troubles = Vec::new();
+    for _ in 0..rng.random_range(4..14) {
+        let at = rng.random_range(500..LOAD_MS);
+        let trouble = match rng.random_range(0..8) {
+            0 => Trouble::NewLeader,
+            1 => Trouble::Reborn(host(&mut rng)),
+            2 => Trouble::Cut(host(&mut rng), rng.random_range(500..9000)),
+            3 => Trouble::Failing(host(&mut rng), rng.random_range(1000..6000)),
+            4 => Trouble::Hanging(host(&mut rng), rng.random_range(1000..8000)),
+            5 => Trouble::Slow(host(&mut rng), 5.0),
+            6 => Trouble::Draining(host(&mut rng)),
+            _ => Trouble::Cancel(jobs[rng.random_range(0..jobs.len())].job),
+        };
+        troubles.push((at, trouble));
+    }
+    let setup = Setup {
+        upstreams: 24,
+        guaranteed: 29,
+        faults: Faults {
+            lost: rng.random_range(0.0..0.03),
+            unanswered: rng.random_range(0.0..0.03),
+            late: rng.random_range(0.0..0.06),
+        },
+        troubles,
+        seed,
+        ..Setup::default()
+    };
+    World::new(setup, load())
+}
+
+fn breaches(seed: u64) -> Vec<Breach> {
+    let mut world = drawn(seed);
+    world.run_until(DAY_MS);
+    world.finish().1.breaches
+}
+
+/// Guards against a task that runs twice, a gang that is started in part, an upstream that is overfilled, a start
+/// after too many failures, for a cancelled job or on a draining upstream, and a job shown as what it is not, under
+/// lost, late and unanswered orders, crashes, cuts and changes of the leader. `SIM_SEEDS` sets the number of days.
+#[test]
+fn no_promise_is_broken_on_days_with_faults() {
+    let days: u64 = std::env::var("SIM_SEEDS")
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(60);
+    let failed: Vec<(u64, Vec<Breach>)> = (0..days)
+        .map(|seed| (seed, breaches(seed)))
+        .filter(|(_, breaches)| !breaches.is_empty())
+        .collect();
+    assert!(failed.is_empty(), "{failed:?}");
+}
+
+/// Guards against leases that lapse and gangs that end alone without any fault, and against jobs that are forgotten.
+#[test]
+fn a_calm_day_ends_with_every_job_done() {
+    let mut world = World::new(Setup::default(), load());
+    world.run_until(80_000);
+    let open = world.book().open_jobs().count();
+    let (report, oracle) = world.finish();
+    assert_eq!(oracle.breaches, []);
+    assert_eq!(open, 0, "{report}");
+}
