--- a/crates/plan/src/engine/engine.rs
+++ b/crates/plan/src/engine/engine.rs
@@ -26,6 +26,16 @@
 /// Silence after which an upstream without runs is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(60);
 
+/// Time for which a start without an answer may still be carried out. The platform's page says 12 s.
+const LOOSE_FOR: Duration = Duration::from_secs(15);
+
+/// A start without an answer whose run was given up.
+#[derive(Clone, Debug)]
+pub(super) struct Loose {
+    pub upstream: id::Upstream,
+    pub until: Instant,
+}
+
 /// Identifies a run.
 pub(super) type RunKey = (id::Task, u32);
 
@@ -35,6 +45,8 @@
     pub(super) settings: Settings,
     pub(super) sessions: IndexMap<id::Upstream, Session>,
     pub(super) tracks: IndexMap<RunKey, Track>,
+    /// Starts without an answer whose runs were given up.
+    pub(super) loose: IndexMap<RunKey, Loose>,
     /// Placements that were proposed and are not known to be applied, by ticket.
     pub(super) proposed: IndexMap<u64, Vec<Placement>>,
     /// Voids that were proposed, so that none is proposed twice.
@@ -65,6 +77,7 @@
             settings,
             sessions: IndexMap::new(),
             tracks: IndexMap::new(),
+            loose: IndexMap::new(),
             proposed: IndexMap::new(),
             voiding: IndexMap::new(),
             ending: IndexMap::new(),
@@ -159,11 +172,15 @@
                 let session = Session::new(upstream.born_ms, self.now, &self.settings);
                 self.sessions.insert(upstream.id.clone(), session);
                 self.health.shift_remove(&upstream.id);
+                self.forget_stops(&upstream.id);
             }
         }
         self.sessions.retain(|id, _| book.upstream(id).is_some());
-        self.tracks
-            .retain(|(task, run), _| book.run(task, *run).is_some());
+        let ended = |(task, run): &RunKey| book.run(task, *run).is_none();
+        let dropped = self.tracks.extract_if(.., |key, _| ended(key));
+        for (key, track) in dropped.collect::<Vec<_>>() {
+            self.keep_loose(key, &track);
+        }
         for (upstream, key, live) in book.live() {
             let awaited = || {
                 let mut placements = self.proposed.values().flatten();
@@ -179,6 +196,25 @@
         }
     }
 
+    /// Remembers a run that is over and of which a start may still be on its way.
+    fn keep_loose(&mut self, key: RunKey, track: &Track) {
+        if track.unanswered {
+            let loose = Loose {
+                upstream: track.upstream.clone(),
+                until: self.now + LOOSE_FOR,
+            };
+            self.loose.insert(key, loose);
+        }
+    }
+
+    /// A new life of an upstream has not heard of the stops that its predecessor confirmed.
+    fn forget_stops(&mut self, upstream: &id::Upstream) {
+        let tracks = self.tracks.values_mut();
+        for track in tracks.filter(|track| track.upstream == *upstream) {
+            track.stopping = None;
+        }
+    }
+
     fn heard(&mut self, upstream: &id::Upstream, born_ms: u64, clock_ms: Option<u64>) {
         let now = self.now;
         if let Some(session) = self.sessions.get_mut(upstream)
--- a/crates/plan/src/engine/hold.rs
+++ b/crates/plan/src/engine/hold.rs
@@ -143,12 +143,15 @@
             );
         }
         session.answered(now);
-        session.met = true;
+        let first = !std::mem::replace(&mut session.met, true);
         session.next_hold = now;
         session.released_end = session.released_end.max(pending.last_end);
         if let Some(clock_ms) = held.clock_ms {
             session.set_clock(clock_ms, now);
         }
+        if first {
+            self.bar_loose(book, id);
+        }
         let running: IndexMap<RunKey, _> = held
             .running
             .iter()
@@ -184,6 +187,21 @@
         self.replan();
     }
 
+    /// Bars starts that had no answer and were given up, in case they reach this life of the upstream.
+    fn bar_loose(&mut self, book: &Book, id: &id::Upstream) {
+        let now = self.now;
+        self.loose.retain(|_, loose| now < loose.until);
+        let loose = self.loose.iter().filter(|(_, loose)| loose.upstream == *id);
+        for key in loose.map(|(key, _)| *key).collect::<Vec<_>>() {
+            log::info!(
+                "event=start_barred upstream={id} task={} run={}",
+                key.0,
+                key.1
+            );
+            self.send_stop(book, id, key);
+        }
+    }
+
     /// Runs that the upstream lists and the book does not hold are stopped, and block it until they are gone.
     fn find_strays(&mut self, book: &Book, id: &id::Upstream, running: &[RunKey]) {
         let is_held = |key: &RunKey| {
@@ -301,12 +319,18 @@
                 }
                 continue;
             }
-            let stopped_before = |stop: Stopping| stop.confirmed.is_some_and(|at| at < sent);
+            // A confirmed stop also bars a start that arrives later. The new life of an upstream has forgotten
+            // which runs were there, so only that protects it from a start meant for its predecessor.
+            let is_barred = track
+                .stopping
+                .and_then(|stop: Stopping| stop.confirmed)
+                .is_some_and(|at| at < sent);
             let is_absent = match track.phase {
                 Phase::Inherited => true,
+                Phase::Started { .. } if is_reborn && track.unanswered => is_barred,
                 Phase::Started { at } => at < sent,
                 Phase::Sending { .. } => false,
-                Phase::Unanswered { .. } => track.stopping.is_some_and(stopped_before),
+                Phase::Unanswered { .. } => is_barred,
             };
             if is_absent {
                 let reason = if is_reborn {
--- a/crates/plan/src/engine/runs.rs
+++ b/crates/plan/src/engine/runs.rs
@@ -148,6 +148,7 @@
                     key.1,
                     track.tries
                 );
+                track.unanswered |= matches!(failure, Failure::NoAnswer(_));
                 // An earlier try of the same run may have been carried out.
                 let refused = Engine::was_not_done(&failure);
                 if refused && track.tries == 1 {
--- a/crates/plan/src/engine/track.rs
+++ b/crates/plan/src/engine/track.rs
@@ -39,8 +39,10 @@
     pub phase: Phase,
     /// When the start was first sent, or the run was inherited.
     pub since: Instant,
-    /// When its progress was first measured.
+    /// Number of starts sent.
     pub tries: u32,
+    /// Whether a start had no answer, so that it may still be carried out, even by a later life of the upstream.
+    pub unanswered: bool,
     pub stopping: Option<Stopping>,
     /// Whether the upstream has listed it as running.
     pub listed: bool,
@@ -71,6 +73,7 @@
             phase,
             since: now,
             tries: 0,
+            unanswered: false,
             stopping: None,
             listed: false,
             percent: 0,
--- a/crates/plan/src/order/units.rs
+++ b/crates/plan/src/order/units.rs
@@ -124,10 +124,7 @@
                 false => Rank::new(queue.priority, elapsed_ms + rest_ms[position], objective_ms),
             };
             let progress = self.book.progress(&name);
-            let failures = progress.map_or(0, |progress| {
-                let tasks = progress.tasks.iter().map(|task| task.failures);
-                tasks.max().unwrap_or(0).max(progress.gang_failures)
-            });
+            let failures = progress.map_or(0, |progress| progress.failed_runs());
             let failed_on = progress.map_or_else(Vec::new, |progress| {
                 let tasks = progress.tasks.iter();
                 tasks.flat_map(|task| task.failed_on.clone()).collect()
@@ -142,6 +139,7 @@
                 priority: queue.priority,
                 rank,
                 start_by_ms: base_ms as f64 + objective_ms - rest_ms[position],
+                expected_ms: self.pace.expected_ms(job, step),
                 since_ms: base_ms.max(job.accepted_ms),
                 last_chance: failures + 1 >= queue.attempts && failures > 0,
                 advised: queue.advice.is_some(),
@@ -191,7 +189,11 @@
             let done = occurrence
                 .and_then(|occurrence| occurrence.steps.get(position))
                 .is_some_and(|progress| progress.is_done());
-            whole[position] = own + later(&whole);
+            // A run that fails by the job's own fault takes time that the objective allows for.
+            let failed = occurrence
+                .and_then(|occurrence| occurrence.steps.get(position))
+                .map_or(0, |progress| progress.failed_runs());
+            whole[position] = own * f64::from(1 + failed) + later(&whole);
             rest[position] = later(&rest) + if done { 0.0 } else { own };
         }
         (whole.into_iter().fold(0.0, f64::max), rest)
--- a/crates/sim/src/lib.rs
+++ b/crates/sim/src/lib.rs
@@ -13,7 +13,7 @@
 mod world;
 
 pub use {
-    load::{Arrival, Load, Kind},
+    load::{Arrival, Kind, Load},
     oracle::{Breach, Oracle},
     report::{Report, Tally},
     trouble::{Faults, Trouble},
--- a/crates/sim/src/load.rs
+++ b/crates/sim/src/load.rs
@@ -74,24 +74,45 @@
             memory_mb,
             accelerators: 0,
         };
-        let gang = |queue, rate, width, work_ms, room, same_rack, saves, estimate_off, worth| Kind {
-            queue,
-            rate,
-            width,
-            work_ms,
-            room,
-            accelerators: &[1, 2, 4, 8, 8],
-            gang: true,
-            same_rack,
-            saves,
-            estimate_off,
-            failing: 0.04,
-            worth,
-        };
+        let gang =
+            |queue, rate, width, work_ms, room, same_rack, saves, estimate_off, worth| Kind {
+                queue,
+                rate,
+                width,
+                work_ms,
+                room,
+                accelerators: &[1, 2, 4, 8, 8],
+                gang: true,
+                same_rack,
+                saves,
+                estimate_off,
+                failing: 0.04,
+                worth,
+            };
         Load {
             kinds: vec![
-                gang("short", 1.68, 3.0, 2100.0, room(3700, 9800), 0.8, 0.0, 0.2, (4.0, 0.8)),
-                gang("long", 0.55, 5.0, 7200.0, room(13000, 26000), 0.6, 0.45, 0.9, (3.0, 0.9)),
+                gang(
+                    "short",
+                    1.68,
+                    3.0,
+                    2100.0,
+                    room(3700, 9800),
+                    0.8,
+                    0.0,
+                    0.2,
+                    (4.0, 0.8),
+                ),
+                gang(
+                    "long",
+                    0.55,
+                    5.0,
+                    7200.0,
+                    room(13000, 26000),
+                    0.6,
+                    0.45,
+                    0.9,
+                    (3.0, 0.9),
+                ),
                 Kind {
                     queue: "sweep",
                     rate: 0.42,
@@ -122,7 +143,9 @@
         for at_ms in (0..self.length_ms).step_by(STEP_MS as usize) {
             for (number, kind) in self.kinds.iter().enumerate() {
                 let burst = match self.burst {
-                    Some((of, from, to, factor)) if of == number && (from..to).contains(&at_ms) => factor,
+                    Some((of, from, to, factor)) if of == number && (from..to).contains(&at_ms) => {
+                        factor
+                    }
                     _ => 1.0,
                 };
                 let expected = kind.rate * self.scale * burst * STEP_MS as f64 / 1000.0;
@@ -139,14 +162,22 @@
     /// Share of tasks that take many times as long, and how many.
     const TAIL: (f64, f64) = (0.03, 7.0);
     let exponential = |rng: &mut StdRng| -rng.random_range(1e-6_f64..1.0).ln();
-    let count = (kind.width * (0.4 + 0.6 * exponential(rng))).round().clamp(1.0, kind.width * 6.0) as u16;
+    let count = (kind.width * (0.4 + 0.6 * exponential(rng)))
+        .round()
+        .clamp(1.0, kind.width * 6.0) as u16;
     let mut work = kind.work_ms * rng.random_range(0.6..1.4);
     if rng.random_bool(TAIL.0) {
         work *= TAIL.1;
     }
-    let works: Vec<u64> = (0..count).map(|_| (work * rng.random_range(0.85..1.15)) as u64).collect();
+    let works: Vec<u64> = (0..count)
+        .map(|_| (work * rng.random_range(0.85..1.15)) as u64)
+        .collect();
     let off = 1.0 + rng.random_range(0.0..=kind.estimate_off);
-    let estimate = if rng.random_bool(0.5) { kind.work_ms * off } else { kind.work_ms / off };
+    let estimate = if rng.random_bool(0.5) {
+        kind.work_ms * off
+    } else {
+        kind.work_ms / off
+    };
     let step = Step {
         count,
         need: Need {
--- a/crates/sim/src/oracle.rs
+++ b/crates/sim/src/oracle.rs
@@ -55,7 +55,11 @@
     pub breaches: Vec<Breach>,
     /// Where each task runs.
     running: IndexMap<id::Task, IndexSet<id::Upstream>>,
+    /// Tasks whose end as done binds: it was taken note of, or still can be.
     done: IndexSet<id::Task>,
+    /// Tasks that an upstream has ever ended as done. An end that was listed before its upstream crashed counts for
+    /// what the job is shown as.
+    ever_done: IndexSet<id::Task>,
     /// Ends as failed, counted once for each run of a gang.
     failed: IndexMap<id::Task, IndexSet<u32>>,
     /// When jobs were cancelled and upstreams began to drain, in milliseconds.
@@ -93,24 +97,43 @@
         let Some(job) = book.job(task.job) else {
             return;
         };
-        let after = job.step(&task).map(|step| step.after.clone()).unwrap_or_default();
+        let after = job
+            .step(&task)
+            .map(|step| step.after.clone())
+            .unwrap_or_default();
         let earlier = self.done.iter().filter(|done| done.job == task.job);
         let steps: Vec<u16> = earlier.map(|done| done.step).collect();
         for step in after {
-            let count = job.form.steps.get(usize::from(step)).map_or(0, |step| step.count);
+            let count = job
+                .form
+                .steps
+                .get(usize::from(step))
+                .map_or(0, |step| step.count);
             let done = steps.iter().filter(|done| **done == step).count();
             if done < usize::from(count) {
                 self.breaches.push(Breach::Early(task));
             }
         }
         let attempts = book.queue(&job.queue).map_or(1, |queue| queue.attempts) as usize;
-        if self.failed.get(&task).is_some_and(|runs| runs.len() >= attempts) {
+        if self
+            .failed
+            .get(&task)
+            .is_some_and(|runs| runs.len() >= attempts)
+        {
             self.breaches.push(Breach::Budget(task));
         }
-        if self.cancelled.get(&task.job).is_some_and(|at| now_ms > at + CANCEL_MS) {
+        if self
+            .cancelled
+            .get(&task.job)
+            .is_some_and(|at| now_ms > at + CANCEL_MS)
+        {
             self.breaches.push(Breach::Unasked(task));
         }
-        if self.draining.get(at).is_some_and(|at| now_ms > at + DRAIN_MS) {
+        if self
+            .draining
+            .get(at)
+            .is_some_and(|at| now_ms > at + DRAIN_MS)
+        {
             self.breaches.push(Breach::Drained(at.clone()));
         }
     }
@@ -121,7 +144,10 @@
             hosts.shift_remove(at);
         }
         match end.how {
-            How::Done => drop(self.done.insert(end.task)),
+            How::Done => {
+                self.done.insert(end.task);
+                self.ever_done.insert(end.task);
+            }
             How::Failed => drop(self.failed.entry(end.task).or_default().insert(end.run)),
             How::Alone if !excused => self.breaches.push(Breach::Alone(end.task)),
             How::Lapsed if !excused => self.breaches.push(Breach::Lapsed(end.task)),
@@ -129,11 +155,17 @@
         }
     }
 
-    /// An upstream lost all that ran on it.
+    /// An upstream lost all that ran on it, and begins a life in which it has promised nothing.
     pub fn lost(&mut self, at: &id::Upstream) {
         for hosts in self.running.values_mut() {
             hosts.shift_remove(at);
         }
+        self.draining.shift_remove(at);
+    }
+
+    /// The end of a task as done can never be taken note of: its upstream lost it, or its lease ended first.
+    pub fn forget_done(&mut self, task: &id::Task) {
+        self.done.shift_remove(task);
     }
 
     /// A cancelling was acknowledged.
@@ -154,7 +186,10 @@
                 continue;
             };
             let all_done = job.form.steps.iter().enumerate().all(|(number, step)| {
-                let done = self.done.iter().filter(|task| task.job == id && usize::from(task.step) == number);
+                let done = self
+                    .ever_done
+                    .iter()
+                    .filter(|task| task.job == id && usize::from(task.step) == number);
                 // The end of one member of a gang stands for all.
                 let count = done.count();
                 count >= usize::from(step.count) || (step.gang && count > 0)
--- a/crates/sim/src/report.rs
+++ b/crates/sim/src/report.rs
@@ -32,7 +32,8 @@
     /// Worth earned over worth owed, of all kinds.
     pub fn served(&self) -> f64 {
         let worths = self.tallies.iter().map(|tally| tally.worth);
-        let (earned, owed) = worths.fold((0.0, 0.0), |sum, worth| (sum.0 + worth.0, sum.1 + worth.1));
+        let (earned, owed) =
+            worths.fold((0.0, 0.0), |sum, worth| (sum.0 + worth.0, sum.1 + worth.1));
         if owed > 0.0 { earned / owed } else { 1.0 }
     }
 
@@ -45,16 +46,24 @@
     /// Wait of a queue's jobs for the first start that a share of them do not exceed, in milliseconds.
     pub fn wait_ms(&self, queue: &str, share: f64) -> u64 {
         let tally = self.tallies.iter().find(|tally| tally.queue == queue);
-        let mut waits = tally.map(|tally| tally.waits_ms.clone()).unwrap_or_default();
+        let mut waits = tally
+            .map(|tally| tally.waits_ms.clone())
+            .unwrap_or_default();
         waits.sort_unstable();
         let last = waits.len().saturating_sub(1);
-        waits.get((last as f64 * share) as usize).copied().unwrap_or(0)
+        waits
+            .get((last as f64 * share) as usize)
+            .copied()
+            .unwrap_or(0)
     }
 }
 
 impl fmt::Display for Report {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        writeln!(f, "queue    owed on-time late  worth wait-p50-ms wait-p99-ms")?;
+        writeln!(
+            f,
+            "queue    owed on-time late  worth wait-p50-ms wait-p99-ms"
+        )?;
         for tally in &self.tallies {
             writeln!(
                 f,
--- a/crates/sim/src/truth.rs
+++ b/crates/sim/src/truth.rs
@@ -33,10 +33,17 @@
         let steps = &job.form.steps;
         let mut ends = vec![0; steps.len()];
         for (number, step) in steps.iter().enumerate() {
-            let longest = self.work_ms.get(number).and_then(|tasks| tasks.iter().max());
+            let longest = self
+                .work_ms
+                .get(number)
+                .and_then(|tasks| tasks.iter().max());
             let longest = longest.copied().unwrap_or(0);
             let failed = u64::from(self.failures.get(number).copied().unwrap_or(0)) * longest / 2;
-            let before = step.after.iter().map(|after| ends[usize::from(*after)]).max();
+            let before = step
+                .after
+                .iter()
+                .map(|after| ends[usize::from(*after)])
+                .max();
             ends[number] = before.unwrap_or(0) + longest + failed;
         }
         ends.into_iter().max().unwrap_or(0)
--- a/crates/sim/src/upstream.rs
+++ b/crates/sim/src/upstream.rs
@@ -58,7 +58,11 @@
         }
         let done = self.done_at(now_ms);
         let step = crate::truth::CHECKPOINT_MS as f64;
-        let saved = if stopping { done } else { (done / step).floor() * step };
+        let saved = if stopping {
+            done
+        } else {
+            (done / step).floor() * step
+        };
         saved.max(self.resumed_ms)
     }
 }
@@ -146,14 +150,24 @@
             return Ok(false);
         }
         self.extend(order.lease_until_ms, now_ms);
-        if self.barred.get(&order.task).is_some_and(|run| order.run <= *run) {
+        if self
+            .barred
+            .get(&order.task)
+            .is_some_and(|run| order.run <= *run)
+        {
             return Err(Refusal::Old);
         }
         Ok(true)
     }
 
     /// Orders a run to stop.
-    pub fn stop(&mut self, order: Stop, token: u64, now_ms: f64, takes_ms: f64) -> Result<(), Refusal> {
+    pub fn stop(
+        &mut self,
+        order: Stop,
+        token: u64,
+        now_ms: f64,
+        takes_ms: f64,
+    ) -> Result<(), Refusal> {
         self.admit(token)?;
         match self.runs.get_mut(&(order.task, order.run)) {
             Some(run) => {
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -4,7 +4,9 @@
         upstream::{Run, saved_ms},
     },
     indexmap::IndexMap,
-    plan::engine::{Effect, Engine, Event, Failure, Held, Hold, Refusal, Settings, Start, Stop, Target},
+    plan::engine::{
+        Effect, Engine, Event, Failure, Held, Hold, Refusal, Settings, Start, Stop, Target,
+    },
     rand::{RngExt, SeedableRng, rngs::StdRng},
     std::{
         collections::BTreeMap,
@@ -91,11 +93,29 @@
     Tick,
     Beat,
     Arrive(Box<Arrival>),
-    Commit { term: u64, ticket: u64, steps: Vec<Step> },
-    Reach { term: u64, call: u64, target: Target, order: Order, answered: bool, late: bool },
-    Answer { term: u64, event: Event },
+    Commit {
+        term: u64,
+        ticket: u64,
+        steps: Vec<Step>,
+    },
+    /// `late` holds the life of the upstream that carries the order out late.
+    Reach {
+        term: u64,
+        call: u64,
+        target: Target,
+        order: Order,
+        answered: bool,
+        late: Option<u64>,
+    },
+    Answer {
+        term: u64,
+        event: Event,
+    },
     /// A delayed answer of a hold is due.
-    HoldDue { upstream: id::Upstream, call: u64 },
+    HoldDue {
+        upstream: id::Upstream,
+        call: u64,
+    },
     Watch,
     Trouble(Trouble),
     Mend(id::Upstream),
@@ -239,8 +259,19 @@
                 self.beat();
             }
             Happening::Arrive(arrival) => self.arrive(*arrival),
-            Happening::Commit { term, ticket, steps } => self.commit(term, ticket, steps),
-            Happening::Reach { term, call, target, order, answered, late } => {
+            Happening::Commit {
+                term,
+                ticket,
+                steps,
+            } => self.commit(term, ticket, steps),
+            Happening::Reach {
+                term,
+                call,
+                target,
+                order,
+                answered,
+                late,
+            } => {
                 self.reach(term, call, &target, order, answered, late);
             }
             Happening::Answer { term, event } => {
@@ -249,7 +280,11 @@
                 }
             }
             Happening::HoldDue { upstream, call } => {
-                if self.waiting.get(&upstream).is_some_and(|waiting| waiting.call == call) {
+                if self
+                    .waiting
+                    .get(&upstream)
+                    .is_some_and(|waiting| waiting.call == call)
+                {
                     self.answer_hold(&upstream);
                 }
             }
@@ -270,7 +305,10 @@
 
     fn step(&mut self, events: Vec<Event>) {
         let now = self.base + Duration::from_micros((self.now_ms * 1000.0) as u64);
-        let effects = self.engine.step(events, &self.book, now, self.now_ms as u64);
+        log::trace!("at={:.0}", self.now_ms);
+        let effects = self
+            .engine
+            .step(events, &self.book, now, self.now_ms as u64);
         for effect in effects {
             self.perform(effect);
         }
@@ -281,11 +319,30 @@
         let term = self.term;
         match effect {
             Effect::Propose { ticket, steps } => {
-                self.at(self.now_ms + COMMIT_MS, Happening::Commit { term, ticket, steps });
+                self.at(
+                    self.now_ms + COMMIT_MS,
+                    Happening::Commit {
+                        term,
+                        ticket,
+                        steps,
+                    },
+                );
             }
-            Effect::Hold { call, target, order } => self.send(call, target, Order::Hold(order)),
-            Effect::Start { call, target, order } => self.send(call, target, Order::Start(order)),
-            Effect::Stop { call, target, order } => self.send(call, target, Order::Stop(order)),
+            Effect::Hold {
+                call,
+                target,
+                order,
+            } => self.send(call, target, Order::Hold(order)),
+            Effect::Start {
+                call,
+                target,
+                order,
+            } => self.send(call, target, Order::Start(order)),
+            Effect::Stop {
+                call,
+                target,
+                order,
+            } => self.send(call, target, Order::Stop(order)),
             Effect::Advise { .. } => {}
         }
     }
@@ -306,21 +363,51 @@
         let unanswered = !lost && !late && draw < faults.lost + faults.unanswered;
         if lost || late || unanswered {
             let event = failed(call, &order);
-            self.at(self.now_ms + wait + TIMEOUT_MS, Happening::Answer { term, event });
+            self.at(
+                self.now_ms + wait + TIMEOUT_MS,
+                Happening::Answer { term, event },
+            );
         }
         if lost {
             return;
         }
-        let delay = if late { self.rng.random_range(2000.0..12_000.0) } else { travel };
+        let delay = if late {
+            self.rng.random_range(2000.0..12_000.0)
+        } else {
+            travel
+        };
         let answered = !late && !unanswered;
-        self.at(self.now_ms + delay, Happening::Reach { term, call, target, order, answered, late });
+        let upstream = self.upstreams.get(&target.upstream);
+        let late = upstream.filter(|_| late).map(|upstream| upstream.born_ms);
+        self.at(
+            self.now_ms + delay,
+            Happening::Reach {
+                term,
+                call,
+                target,
+                order,
+                answered,
+                late,
+            },
+        );
     }
 
-    fn reach(&mut self, term: u64, call: u64, target: &Target, order: Order, answered: bool, late: bool) {
+    fn reach(
+        &mut self,
+        term: u64,
+        call: u64,
+        target: &Target,
+        order: Order,
+        answered: bool,
+        late: Option<u64>,
+    ) {
         let id = target.upstream.clone();
-        if self.cut.contains_key(&id) && !late {
+        // What an upstream has received and not carried out yet is lost with its life.
+        let life = self.upstreams.get(&id).map(|upstream| upstream.born_ms);
+        if (self.cut.contains_key(&id) && late.is_none()) || (late.is_some() && late != life) {
             return;
         }
+        let late = late.is_some();
         let event = match order {
             Order::Start(start) => {
                 let answer = self.start(&id, &start, term, late);
@@ -342,7 +429,10 @@
                     return;
                 };
                 match upstream.hold(&hold, term, now_ms) {
-                    Err(refusal) => Event::Held { call, answer: Err(Failure::Refused(refusal)) },
+                    Err(refusal) => Event::Held {
+                        call,
+                        answer: Err(Failure::Refused(refusal)),
+                    },
                     Ok(()) if !answered => return,
                     Ok(()) => {
                         let wait_ms = hold.wait.as_secs_f64() * 1000.0;
@@ -375,12 +465,22 @@
             true => Err(Failure::NoAnswer("cut".into())),
             false => Ok(held),
         };
-        let delay = if answer.is_ok() { TRAVEL_MS } else { TIMEOUT_MS };
+        let delay = if answer.is_ok() {
+            TRAVEL_MS
+        } else {
+            TIMEOUT_MS
+        };
         let event = Event::Held { call, answer };
         self.at(self.now_ms + delay, Happening::Answer { term, event });
     }
 
-    fn start(&mut self, id: &id::Upstream, order: &Start, term: u64, late: bool) -> Result<Option<u64>, Refusal> {
+    fn start(
+        &mut self,
+        id: &id::Upstream,
+        order: &Start,
+        term: u64,
+        late: bool,
+    ) -> Result<Option<u64>, Refusal> {
         let now_ms = self.now_ms;
         let upstream = self.upstreams.get_mut(id).ok_or(Refusal::OtherLife)?;
         let clock = Some(upstream.clock_ms(now_ms));
@@ -388,17 +488,31 @@
             return Ok(clock);
         }
         let job = self.book.job(order.task.job).ok_or(Refusal::Malformed)?;
-        let arrival = self.arrivals.get(&order.task.job).ok_or(Refusal::Malformed)?;
+        let arrival = self
+            .arrivals
+            .get(&order.task.job)
+            .ok_or(Refusal::Malformed)?;
         let step = job.step(&order.task).ok_or(Refusal::Malformed)?;
         let truth: &Truth = &arrival.truth;
         let saved = saved_ms(&order.checkpoint);
         let far = self.is_far(id, order);
-        let factor = if far { self.setup.settings.far_factor } else { 1.0 };
+        let factor = if far {
+            self.setup.settings.far_factor
+        } else {
+            1.0
+        };
         let work = truth.work_of(job, &order.task) as f64 * factor;
-        let planned = truth.failures.get(usize::from(order.task.step)).copied().unwrap_or(0);
+        let planned = truth
+            .failures
+            .get(usize::from(order.task.step))
+            .copied()
+            .unwrap_or(0);
         let before = self.book.progress(&order.task).map_or(0, |progress| {
             progress.gang_failures.max(
-                progress.tasks.get(usize::from(order.task.index)).map_or(0, |task| task.failures),
+                progress
+                    .tasks
+                    .get(usize::from(order.task.index))
+                    .map_or(0, |task| task.failures),
             )
         });
         let is_faulty_member = !step.gang || order.task.index == 0;
@@ -415,16 +529,42 @@
             stops_at: None,
         };
         let key = (order.task, order.run);
+        log::debug!(
+            "at={now_ms:.0} event=model_start task={} run={} upstream={id} late={late} token={term}",
+            order.task,
+            order.run
+        );
+        self.forget_lapsed_end(&order.task);
         if let Some(upstream) = self.upstreams.get_mut(id) {
             upstream.runs.insert(key, run);
             let room = upstream.room();
-            self.oracle.begun(&self.book, id, order.task, room, late, now_ms as u64);
+            self.oracle
+                .begun(&self.book, id, order.task, room, late, now_ms as u64);
         }
         self.first_starts.entry(order.task.job).or_insert(now_ms);
         self.gather(key);
         Ok(clock)
     }
 
+    fn forget_unless_noted(&mut self, task: &id::Task) {
+        if !self.book.task(task).is_some_and(|task| task.done) {
+            self.oracle.forget_done(task);
+        }
+    }
+
+    /// An end that was not taken note of before its upstream's lease ended does not bind any more.
+    fn forget_lapsed_end(&mut self, task: &id::Task) {
+        let now_ms = self.now_ms;
+        let lapsed = self.upstreams.values().any(|upstream| {
+            let mut ends = upstream.ends.iter();
+            upstream.clock_ms(now_ms) > upstream.lease_ms
+                && ends.any(|end| end.task == *task && end.how == How::Done)
+        });
+        if lapsed {
+            self.forget_unless_noted(task);
+        }
+    }
+
     /// Whether a gang that wants one rack is spread. The tasks have no data of their own in this model.
     fn is_far(&self, id: &id::Upstream, order: &Start) -> bool {
         let Some(step) = self.book.step(&order.task) else {
@@ -435,7 +575,9 @@
             return false;
         };
         let runs = progress.tasks.iter().flat_map(|task| &task.live);
-        let mut racks = runs.filter(|run| run.number == order.run).map(|run| rack(&run.upstream));
+        let mut racks = runs
+            .filter(|run| run.number == order.run)
+            .map(|run| rack(&run.upstream));
         step.gang && step.same_rack && racks.any(|other| other != rack(id))
     }
 
@@ -497,7 +639,10 @@
                     How::Lapsed
                 } else if run.stops_at.is_some_and(|at| now_ms >= at) {
                     How::Stopped
-                } else if run.fails_at.is_some_and(|at| run.since_ms.is_some() && done >= at) {
+                } else if run
+                    .fails_at
+                    .is_some_and(|at| run.since_ms.is_some() && done >= at)
+                {
                     How::Failed
                 } else if run.since_ms.is_some() && done >= run.work_ms {
                     How::Done
@@ -525,8 +670,14 @@
         let Some((end, run)) = upstream.end(key, how, now_ms) else {
             return;
         };
+        log::debug!(
+            "at={now_ms:.0} event=model_end task={} run={} upstream={id} how={how}",
+            key.0,
+            key.1
+        );
         let calm = self.setup.troubles.is_empty()
-            && self.setup.faults.lost + self.setup.faults.late + self.setup.faults.unanswered == 0.0;
+            && self.setup.faults.lost + self.setup.faults.late + self.setup.faults.unanswered
+                == 0.0;
         self.oracle.ended(id, &end, !calm);
         self.charge(&run, how, now_ms);
         if self.waiting.contains_key(id) {
@@ -534,7 +685,11 @@
         }
         let gang = self.book.step(&key.0).is_some_and(|step| step.gang);
         if gang {
-            let how = if how == How::Done { How::Done } else { How::Broken };
+            let how = if how == How::Done {
+                How::Done
+            } else {
+                How::Broken
+            };
             for (other, member) in self.members(key, true) {
                 if member != key {
                     self.end(&other, member, how);
@@ -588,7 +743,11 @@
             if self.cut.contains_key(id) {
                 continue;
             }
-            if self.book.upstream(id).is_some_and(|known| known.born_ms != upstream.born_ms) {
+            if self
+                .book
+                .upstream(id)
+                .is_some_and(|known| known.born_ms != upstream.born_ms)
+            {
                 self.register(upstream, false, number);
             }
             events.push(Event::Heard {
@@ -601,6 +760,10 @@
     }
 
     fn trouble(&mut self, trouble: Trouble) {
+        log::debug!(
+            "at={:.0} event=model_trouble trouble=\"{trouble:?}\"",
+            self.now_ms
+        );
         match trouble {
             Trouble::NewLeader => {
                 self.term += 1;
@@ -614,8 +777,12 @@
                     return;
                 };
                 let gone: Vec<(id::Task, u32)> = upstream.runs.keys().copied().collect();
+                let ends = std::mem::take(&mut upstream.ends);
                 let lost = upstream.reborn(now_ms);
                 self.oracle.lost(&id);
+                for end in ends.iter().filter(|end| end.how == How::Done) {
+                    self.forget_unless_noted(&end.task);
+                }
                 for run in lost {
                     self.charge(&run, How::Lapsed, now_ms);
                 }
@@ -643,8 +810,9 @@
             }
             Trouble::Cancel(job) => {
                 let at_ms = self.now_ms as u64;
-                self.book.apply(Command::Cancel { at_ms, job });
-                self.oracle.cancelled(job, at_ms);
+                if self.book.apply(Command::Cancel { at_ms, job }) == Answer::Cancelled {
+                    self.oracle.cancelled(job, at_ms);
+                }
                 self.step(Vec::new());
             }
         }
@@ -669,7 +837,12 @@
     /// Lets runs go on that stood still.
     fn refresh_work(&mut self, id: &id::Upstream) {
         let keys: Vec<(id::Task, u32)> = match self.upstreams.get(id) {
-            Some(upstream) => upstream.runs.iter().filter(|(_, run)| run.since_ms.is_none()).map(|(key, _)| *key).collect(),
+            Some(upstream) => upstream
+                .runs
+                .iter()
+                .filter(|(_, run)| run.since_ms.is_none())
+                .map(|(key, _)| *key)
+                .collect(),
             None => return,
         };
         for key in keys {
@@ -678,7 +851,11 @@
     }
 
     fn note_ends(&mut self) {
-        let has_ended = |id: &id::Job| self.book.job(*id).is_some_and(|job| job.state != State::Open);
+        let has_ended = |id: &id::Job| {
+            self.book
+                .job(*id)
+                .is_some_and(|job| job.state != State::Open)
+        };
         for id in self.arrivals.keys().filter(|id| has_ended(id)) {
             self.ended.entry(*id).or_insert(self.now_ms);
         }
@@ -694,7 +871,11 @@
                 queue: kind.queue,
                 ..Tally::default()
             };
-            for (id, arrival) in self.arrivals.iter().filter(|(_, arrival)| arrival.kind == number) {
+            for (id, arrival) in self
+                .arrivals
+                .iter()
+                .filter(|(_, arrival)| arrival.kind == number)
+            {
                 let Some(job) = self.book.job(*id) else {
                     continue;
                 };
@@ -702,9 +883,11 @@
                     continue;
                 }
                 let queue = self.book.queue(&job.queue);
-                let (stretch, fixed) = queue.map_or((1.0, 0), |queue| (queue.stretch, queue.objective_ms));
+                let (stretch, fixed) =
+                    queue.map_or((1.0, 0), |queue| (queue.stretch, queue.objective_ms));
                 let objective = stretch * arrival.truth.chain_ms(job) as f64 + fixed as f64;
-                let size = arrival.truth.work_ms.iter().flatten().sum::<u64>() as f64 * job.form.steps[0].need.cores();
+                let size = arrival.truth.work_ms.iter().flatten().sum::<u64>() as f64
+                    * job.form.steps[0].need.cores();
                 let mean = kind.width * kind.work_ms * mean_cores(kind);
                 let weight = (0.3 + 0.7 * size / mean).min(4.0);
                 tally.owed += 1;
@@ -739,9 +922,18 @@
 fn failed(call: u64, order: &Order) -> Event {
     let failure = Failure::NoAnswer("lost".into());
     match order {
-        Order::Start(_) => Event::Started { call, answer: Err(failure) },
-        Order::Stop(_) => Event::Stopped { call, answer: Err(failure) },
-        Order::Hold(_) => Event::Held { call, answer: Err(failure) },
+        Order::Start(_) => Event::Started {
+            call,
+            answer: Err(failure),
+        },
+        Order::Stop(_) => Event::Stopped {
+            call,
+            answer: Err(failure),
+        },
+        Order::Hold(_) => Event::Held {
+            call,
+            answer: Err(failure),
+        },
     }
 }
 
--- a/crates/sim/tests/promises.rs
+++ b/crates/sim/tests/promises.rs
@@ -61,6 +61,36 @@
     world.finish().1.breaches
 }
 
+/// Prints what happens, for the trace of a seed: `SIM_TRACE=seed cargo test -p sim --test promises trace -- --nocapture`.
+struct Printer;
+
+impl log::Log for Printer {
+    fn enabled(&self, _: &log::Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, record: &log::Record<'_>) {
+        println!("{}", record.args());
+    }
+
+    fn flush(&self) {}
+}
+
+/// Traces the day of `SIM_TRACE`; does nothing without it.
+#[test]
+fn trace() {
+    let seed = std::env::var("SIM_TRACE")
+        .ok()
+        .and_then(|text| text.parse().ok());
+    let Some(seed) = seed else {
+        return;
+    };
+    if log::set_logger(&Printer).is_ok() {
+        log::set_max_level(log::LevelFilter::Debug);
+    }
+    println!("{:?}", breaches(seed));
+}
+
 /// Guards against a task that runs twice, a gang that is started in part, an upstream that is overfilled, a start
 /// after too many failures, for a cancelled job or on a draining upstream, and a job shown as what it is not, under
 /// lost, late and unanswered orders, crashes, cuts and changes of the leader. `SIM_SEEDS` sets the number of days.
--- a/crates/work/src/book/progress.rs
+++ b/crates/work/src/book/progress.rs
@@ -94,6 +94,12 @@
             .map_or("", |task| task.checkpoint.as_str())
     }
 
+    /// Failed runs of the gang, or of the task that failed most often.
+    pub fn failed_runs(&self) -> u32 {
+        let tasks = self.tasks.iter().map(|task| task.failures);
+        tasks.max().unwrap_or(0).max(self.gang_failures)
+    }
+
     /// Whether any run of the step may be running.
     pub fn is_live(&self) -> bool {
         self.tasks.iter().any(|task| !task.live.is_empty())
