Stop other work for urgent jobs at once again

The objective's slack is used up by slow upstreams and estimates that are too low, so a gang that waits is late.

--- a/crates/plan/src/engine/planning.rs
+++ b/crates/plan/src/engine/planning.rs
@@ -6,7 +6,6 @@
         reclaim::{self, Victim},
     },
     indexmap::{IndexMap, IndexSet},
-    std::time::Duration,
     work::{
         book::{Book, Placement, Step},
         id,
@@ -20,18 +19,9 @@
 /// Most units for which victims are searched in one round; the search is the costliest part of it.
 const MAX_RECLAIMS: usize = 6;
 
-/// Core-seconds that may be thrown away for each core-second of an urgent unit that no guarantee covers. At the
-/// platform's prices more would cost as much as the unit earns.
-const MAX_WASTE_RATIO: f64 = 0.8;
-
-/// The same as a fixed part of it: small jobs earn more for their work than large ones.
-const MAX_WASTE_BASE: f64 = 200.0;
-
-/// Core-seconds for which nobody waits: stopping work that has just begun or saved costs next to nothing.
-const CHEAP_WASTE: f64 = 30.0;
-
-/// Time that the stop of other work and the start take beyond the bound of a stop: a commit and two round trips.
-const TURNOVER: Duration = Duration::from_millis(250);
+/// Core-seconds that may be thrown away for one urgent unit that no guarantee covers. At the platform's prices
+/// more would cost as much as the unit earns.
+const MAX_WASTE: f64 = 1200.0;
 
 /// Share of a service's accelerators in use below which work may go far from its data or its gang: idle room is
 /// better used slowly than not at all.
@@ -43,9 +33,6 @@
 /// Share of the reclaim time after which a guaranteed gang is spread rather than late.
 const SPREAD_SHARE: f64 = 0.35;
 
-/// Share of the reclaim time that a guaranteed unit may wait for work that ends by itself.
-const RECLAIM_SHARE: f64 = 0.5;
-
 /// Percentage of progress after which a run is not stopped any more: it ends by itself about as soon.
 const NEARLY_DONE_PERCENT: u8 = 90;
 
@@ -185,13 +172,7 @@
             return;
         };
         let waste: f64 = chosen.iter().map(|position| victims[*position].waste).sum();
-        let worth = MAX_WASTE_BASE + MAX_WASTE_RATIO * unit.expected_core_seconds();
-        if unit.rank != Rank::Guaranteed && waste > worth {
-            return;
-        }
-        if waste > CHEAP_WASTE && !self.is_pressing(unit) {
-            // Other work may end by itself in time; what it frees is kept for the unit.
-            set_aside(round, unit, &places);
+        if unit.rank != Rank::Guaranteed && waste > MAX_WASTE {
             return;
         }
         log::info!(
@@ -213,16 +194,6 @@
         set_aside(round, unit, &places);
     }
 
-    /// Whether the unit misses its objective, or the time of a guarantee, unless room is made for it now.
-    fn is_pressing(&self, unit: &Unit<'_>) -> bool {
-        let turnover_ms = (self.settings.stop + TURNOVER).as_millis() as f64;
-        let now_ms = self.time_ms as f64;
-        let waited_ms = now_ms - unit.since_ms as f64;
-        let limit_ms = self.settings.reclaim.as_millis() as f64 * RECLAIM_SHARE;
-        let is_owed = unit.rank == Rank::Guaranteed && waited_ms + turnover_ms > limit_ms;
-        is_owed || now_ms + turnover_ms > unit.start_by_ms
-    }
-
     fn plan_singles(&mut self, round: &mut Round<'_>, unit: &Unit<'_>, allowed: &[bool]) {
         let reach = self.reach(round, unit, allowed);
         for index in &unit.tasks {
--- a/crates/plan/src/order/unit.rs
+++ b/crates/plan/src/order/unit.rs
@@ -27,8 +27,6 @@
     pub rank: Rank,
     /// Latest start for an end within the objective, by the agreed time of day in milliseconds.
     pub start_by_ms: f64,
-    /// How long one of its tasks is expected to take, in milliseconds.
-    pub expected_ms: f64,
     /// Since when it is ready to start, as far as the job tells.
     pub since_ms: u64,
     /// Whether one more failure ends the job.
@@ -45,11 +43,6 @@
         id::Task { index, ..self.name }
     }
 
-    /// Core-seconds that its tasks are expected to take.
-    pub fn expected_core_seconds(&self) -> f64 {
-        self.expected_ms / 1000.0 * self.tasks.len() as f64 * self.room.cores()
-    }
-
     /// Racks matter: its data is on one, or its members must share one.
     pub fn wants_rack(&self) -> bool {
         self.step.data_rack.is_some() || (self.step.gang && self.step.same_rack)
--- a/crates/plan/src/order/units.rs
+++ b/crates/plan/src/order/units.rs
@@ -139,7 +139,6 @@
                 priority: queue.priority,
                 rank,
                 start_by_ms: base_ms as f64 + objective_ms - rest_ms[position],
-                expected_ms: self.pace.expected_ms(job, step),
                 since_ms: base_ms.max(job.accepted_ms),
                 last_chance: failures + 1 >= queue.attempts && failures > 0,
                 advised: queue.advice.is_some(),
