--- a/crates/plan/src/engine/planning.rs
+++ b/crates/plan/src/engine/planning.rs
@@ -59,7 +59,14 @@
         self.forget_advice(book);
         let placements = self.proposed.values().flatten();
         let taken: IndexSet<id::Task> = placements.map(|placement| placement.task).collect();
-        let units = order::units(book, &self.pace, self.time_ms, self.settings.early, &taken);
+        let units = order::units(
+            book,
+            &self.pace,
+            self.time_ms,
+            self.settings.early,
+            &taken,
+            self.settings.policy,
+        );
         for unit in &units {
             if round.assigned >= MAX_ASSIGNED {
                 break;
--- a/crates/plan/src/engine/settings.rs
+++ b/crates/plan/src/engine/settings.rs
@@ -1,4 +1,4 @@
-use std::time::Duration;
+use {crate::order::Policy, std::time::Duration};
 
 /// Bounds that the deployment states. The engine derives its timeouts from them.
 #[derive(Clone, Debug)]
@@ -21,6 +21,8 @@
     pub keep: Duration,
     /// Time for which a response to a hold may be delayed by the upstream.
     pub hold_wait: Duration,
+    /// How ready work is ordered.
+    pub policy: Policy,
 }
 
 impl Default for Settings {
@@ -35,6 +37,7 @@
             far_factor: 3.0,
             keep: Duration::from_secs(120),
             hold_wait: Duration::from_millis(2000),
+            policy: Policy::default(),
         }
     }
 }
--- a/crates/plan/src/order/units.rs
+++ b/crates/plan/src/order/units.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Rank, Unit},
+    super::{Policy, Rank, Unit},
     crate::learn::Pace,
     indexmap::{IndexMap, IndexSet},
     std::time::Duration,
@@ -17,6 +17,7 @@
     time_ms: u64,
     early: Duration,
     taken: &IndexSet<id::Task>,
+    policy: Policy,
 ) -> Vec<Unit<'a>> {
     let guaranteed = guaranteed_accounts(book);
     let mut units = Vec::new();
@@ -41,6 +42,24 @@
             ready.add(number, taken, &mut units);
         }
     }
+    match policy {
+        Policy::Worth => {}
+        Policy::Arrival => {
+            for unit in &mut units {
+                unit.rank = Rank::OnTime(1);
+                unit.start_by_ms = unit.since_ms as f64;
+            }
+        }
+        Policy::Priority => {
+            for unit in &mut units {
+                unit.rank = match unit.priority {
+                    0 => Rank::Urgent,
+                    priority => Rank::OnTime(priority),
+                };
+                unit.start_by_ms = unit.since_ms as f64;
+            }
+        }
+    }
     units.sort_by(|a, b| {
         (a.rank, a.start_by_ms)
             .partial_cmp(&(b.rank, b.start_by_ms))
--- a/crates/sim/src/report.rs
+++ b/crates/sim/src/report.rs
@@ -37,6 +37,13 @@
         if owed > 0.0 { earned / owed } else { 1.0 }
     }
 
+    /// Worth served less the price of wasted work, as the platform weighs both.
+    pub fn net(&self) -> f64 {
+        /// Price of wasting as much work as was done, in shares of the worth owed.
+        const WASTE_PRICE: f64 = 0.9;
+        self.served() - WASTE_PRICE * self.waste / (self.useful + self.waste).max(1.0)
+    }
+
     /// Share of a queue's jobs that ended within their objective.
     pub fn on_time(&self, queue: &str) -> f64 {
         let tally = self.tallies.iter().find(|tally| tally.queue == queue);
--- a/crates/sim/src/upstream.rs
+++ b/crates/sim/src/upstream.rs
@@ -92,6 +92,8 @@
     pub lease_ms: u64,
     /// How it treats what it runs.
     pub nature: Nature,
+    /// How many times as long it takes when it is sound.
+    pub pace: f64,
     /// Longest lease.
     pub longest_ms: u64,
 }
@@ -111,6 +113,7 @@
             last_end: 0,
             lease_ms: 0,
             nature: Nature::Sound,
+            pace: 1.0,
             longest_ms,
         }
     }
@@ -231,6 +234,7 @@
         *self = Upstream {
             born_ms: self.born_ms + 1,
             start_ms: now_ms,
+            pace: self.pace,
             ..Upstream::new(self.id.clone(), self.rate, self.longest_ms)
         };
         lost
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -39,6 +39,9 @@
 /// Interval of heartbeats, in milliseconds.
 const BEAT_MS: f64 = 1500.0;
 
+/// How many times as long work takes in the slower data centre.
+const SLOWER_PACE: f64 = 1.3;
+
 /// Room of an upstream: the size that the users state.
 const CAPACITY: Need = Need {
     cpu_milli: 32_000,
@@ -187,7 +190,11 @@
             let id = id::Upstream::from(format!("u{number}"));
             let rate = 1.0 - 0.02 * self.rng.random::<f64>();
             let longest_ms = self.setup.settings.lease.as_millis() as u64;
-            let model = Upstream::new(id.clone(), rate, longest_ms);
+            let mut model = Upstream::new(id.clone(), rate, longest_ms);
+            // The users' third data centre has slower machines.
+            if number * 3 >= self.setup.upstreams * 2 {
+                model.pace = SLOWER_PACE;
+            }
             self.register(&model, false, number);
             self.upstreams.insert(id, model);
         }
@@ -597,10 +604,12 @@
                 && let Some(run) = upstream.runs.get_mut(&member)
             {
                 let works = upstream.nature != Nature::Hanging;
-                if let Nature::Slow(factor) = upstream.nature {
-                    run.work_ms *= factor;
-                    run.fails_at = run.fails_at.map(|at| at * factor);
-                }
+                let factor = match upstream.nature {
+                    Nature::Slow(factor) => factor * upstream.pace,
+                    _ => upstream.pace,
+                };
+                run.work_ms *= factor;
+                run.fails_at = run.fails_at.map(|at| at * factor);
                 if upstream.nature == Nature::Failing {
                     run.fails_at = Some(run.done_ms + 300.0);
                 }
