--- a/crates/plan/src/engine/hold.rs
+++ b/crates/plan/src/engine/hold.rs
@@ -5,7 +5,6 @@
         session::Pending,
         track::{Phase, Stopping},
     },
-    crate::learn::Health,
     indexmap::IndexMap,
     std::time::{Duration, Instant},
     work::{
@@ -263,10 +262,7 @@
 
     fn learn(&mut self, book: &Book, id: &id::Upstream, end: &End) {
         let now = self.now;
-        let health = self
-            .health
-            .entry(id.clone())
-            .or_insert_with(Health::default);
+        let health = self.health.entry(id.clone()).or_default();
         match end.how {
             How::Done => health.done(),
             How::Failed => health.failed(now),
--- a/crates/plan/src/place/host.rs
+++ b/crates/plan/src/place/host.rs
@@ -30,14 +30,11 @@
 impl Host<'_> {
     /// Whether a unit may run here at all.
     pub fn accepts(&self, unit: &Unit<'_>) -> bool {
-        self.upstream.service == unit.service
-            && unit
-                .step
-                .label
-                .as_ref()
-                .is_none_or(|label| self.upstream.labels.contains(label))
-            && !(unit.last_chance && !self.proven)
-            && !unit.failed_on.contains(&self.upstream.id)
+        let label = unit.step.label.as_ref();
+        let has_label = label.is_none_or(|label| self.upstream.labels.contains(label));
+        let is_safe = !unit.last_chance || self.proven;
+        let has_failed = unit.failed_on.contains(&self.upstream.id);
+        self.upstream.service == unit.service && has_label && is_safe && !has_failed
     }
 
     /// How many tasks of a unit fit.
--- a/crates/work/src/book/apply.rs
+++ b/crates/work/src/book/apply.rs
@@ -165,11 +165,8 @@
 
     /// Removes an upstream and all that ran on it.
     fn forget(&mut self, id: &id::Upstream, born_ms: u64) {
-        if !self
-            .upstreams
-            .get(id)
-            .is_some_and(|known| known.upstream.born_ms == born_ms)
-        {
+        let known = self.upstreams.get(id);
+        if known.is_none_or(|known| known.upstream.born_ms != born_ms) {
             return;
         }
         self.upstreams.shift_remove(id);
@@ -237,7 +234,7 @@
         if job.state != State::Open
             || task.index >= step.count
             || !job.is_pending(task.occurrence)
-            || !known.is_some_and(|known| known.upstream.born_ms == placement.born_ms)
+            || known.is_none_or(|known| known.upstream.born_ms != placement.born_ms)
         {
             return false;
         }
