--- a/crates/cli/src/command/mod.rs
+++ b/crates/cli/src/command/mod.rs
@@ -1,6 +1,7 @@
 //! The commands, one file each.
 
 mod demo;
+mod explain;
 mod instance;
 mod job;
 mod note;
@@ -54,6 +55,7 @@
     Trial(trial::Trial),
     StandIn(stand_in::StandIn),
     Demo(demo::Demo),
+    Explain(explain::Explain),
 }
 
 impl Command {
@@ -69,6 +71,7 @@
             Command::StandIn(command) => command.run(context).await,
             Command::Trial(command) => command.run(context),
             Command::Demo(command) => command.run(),
+            Command::Explain(command) => command.run(context),
         }
     }
 }
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -14,5 +14,6 @@
 mod error;
 mod exit;
 mod run;
+mod story;
 
 pub use {error::Error, exit::Exit, run::run};
--- a/crates/plan/src/engine/hold.rs
+++ b/crates/plan/src/engine/hold.rs
@@ -279,7 +279,9 @@
             let rack = book.upstream(id).map(|upstream| upstream.rack.as_str());
             let near = step.data_rack.is_none() || step.data_rack.as_deref() == rack;
             if near && !step.same_rack {
-                self.pace.observe(job, step, took);
+                let place = book.upstream(id);
+                let place = place.map_or("", |upstream| upstream.data_centre.as_str());
+                self.pace.observe(job, step, place, took);
             }
         }
     }
--- a/crates/plan/src/engine/planning.rs
+++ b/crates/plan/src/engine/planning.rs
@@ -98,6 +98,7 @@
                 upstream,
                 free: upstream.capacity,
                 soon: upstream.capacity,
+                slowness: self.pace.slowness(&upstream.data_centre),
                 proven: health.is_none_or(|health| health.is_proven()),
                 spread: Vec::new(),
             });
--- a/crates/plan/src/place/fit.rs
+++ b/crates/plan/src/place/fit.rs
@@ -40,9 +40,12 @@
             .iter()
             .map(|position| hosts[*position].slots(unit, room))
             .sum();
-        (slots >= unit.tasks.len()).then_some((slots, members))
+        let slowness = members
+            .first()
+            .map_or(0, |position| slowness(unit, &hosts[*position]));
+        (slots >= unit.tasks.len()).then_some((slowness, slots, members))
     });
-    let (_, members) = fitting.min_by_key(|(slots, _)| *slots)?;
+    let (_, _, members) = fitting.min_by_key(|(slowness, slots, _)| (*slowness, *slots))?;
     fit(unit, hosts, members, room)
 }
 
@@ -54,7 +57,7 @@
     room: Room,
 ) -> Option<Vec<usize>> {
     let mut candidates = candidates.to_vec();
-    candidates.sort_by_key(|position| hosts[*position].free.accelerators);
+    candidates.sort_by_key(|position| preference(unit, &hosts[*position]));
     let mut chosen = Vec::with_capacity(unit.tasks.len());
     for position in candidates {
         let missing = unit.tasks.len() - chosen.len();
@@ -77,7 +80,19 @@
     candidates(unit, hosts, allowed, reach)
         .into_iter()
         .filter(|position| hosts[*position].slots(unit, Room::Now) > 0)
-        .min_by_key(|position| hosts[*position].free.accelerators)
+        .min_by_key(|position| preference(unit, &hosts[*position]))
+}
+
+/// Fast data centres first for urgent work, which has little time to spare; then the fullest upstream.
+fn preference(unit: &Unit<'_>, host: &Host<'_>) -> (u32, i64) {
+    (slowness(unit, host), host.free.accelerators)
+}
+
+fn slowness(unit: &Unit<'_>, host: &Host<'_>) -> u32 {
+    match unit.priority {
+        0 => host.slowness,
+        _ => 0,
+    }
 }
 
 /// Upstreams that may run the unit.
--- a/crates/plan/src/place/host.rs
+++ b/crates/plan/src/place/host.rs
@@ -12,6 +12,8 @@
     pub free: Need,
     /// Room that is free now or being freed, less what was set aside for waiting work.
     pub soon: Need,
+    /// How much slower its data centre is than the fastest one, in tenths.
+    pub slowness: u32,
     /// Whether its latest runs did not fail.
     pub proven: bool,
     /// Steps whose tasks are limited per upstream, and how many each has here, named by their first task.
--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -215,7 +215,7 @@
             id: model.id.clone(),
             born_ms: model.born_ms,
             address: model.id.to_string(),
-            data_centre: "dc".into(),
+            data_centre: format!("dc{}", number * 3 / self.setup.upstreams),
             service: "pool".into(),
             capacity: CAPACITY,
             labels: vec!["a".into(), rack.clone()],
@@ -312,7 +312,7 @@
 
     fn step(&mut self, events: Vec<Event>) {
         let now = self.base + Duration::from_micros((self.now_ms * 1000.0) as u64);
-        log::trace!("at={:.0}", self.now_ms);
+        log::trace!("event=model_step at={:.0}", self.now_ms);
         let effects = self
             .engine
             .step(events, &self.book, now, self.now_ms as u64);
@@ -537,7 +537,7 @@
         };
         let key = (order.task, order.run);
         log::debug!(
-            "at={now_ms:.0} event=model_start task={} run={} upstream={id} late={late} token={term}",
+            "event=model_start task={} run={} upstream={id} late={late} token={term}",
             order.task,
             order.run
         );
@@ -680,7 +680,7 @@
             return;
         };
         log::debug!(
-            "at={now_ms:.0} event=model_end task={} run={} upstream={id} how={how}",
+            "event=model_end task={} run={} upstream={id} how={how}",
             key.0,
             key.1
         );
@@ -770,7 +770,7 @@
 
     fn trouble(&mut self, trouble: Trouble) {
         log::debug!(
-            "at={:.0} event=model_trouble trouble=\"{trouble:?}\"",
+            "event=model_trouble at={:.0} trouble=\"{trouble:?}\"",
             self.now_ms
         );
         match trouble {
