--- a/crates/daemon/tests/metrics.rs
+++ b/crates/daemon/tests/metrics.rs
@@ -106,7 +106,7 @@
 }
 
 /// Longest considered part of a statement; its event stands in the first of them.
-const MAX_STATEMENT_CHARS: usize = 200;
+const MAX_STATEMENT_CHARS: usize = 600;
 
 /// Name of the event, and its level and keys as the page gives them, of a statement that begins after `log::`.
 fn event(statement: &str) -> Option<(String, String)> {
@@ -143,6 +143,7 @@
     for entry in fs::read_dir(root().join("crates")).unwrap() {
         sources(&entry.unwrap().path().join("src"), &mut files);
     }
+    sources(&root().join("platform/src"), &mut files);
     let mut events = BTreeSet::new();
     for file in files {
         let text = fs::read_to_string(&file).unwrap();
--- a/crates/dispatch/src/control/replica.rs
+++ b/crates/dispatch/src/control/replica.rs
@@ -22,10 +22,10 @@
 const FIRST_INCARNATION: u64 = 1;
 
 /// Shortest time without contact before an election. Longer than a few lost packets between regions.
-const ELECTION_MIN: Duration = Duration::from_millis(900);
+const ELECTION_MIN: Duration = Duration::from_millis(750);
 
 /// Longest time without contact before an election.
-const ELECTION_MAX: Duration = Duration::from_millis(1500);
+const ELECTION_MAX: Duration = Duration::from_millis(1300);
 
 /// The replica of this instance, which is opened again after a failure of its disk.
 #[derive(Clone)]
--- a/crates/logs/src/console.rs
+++ b/crates/logs/src/console.rs
@@ -14,7 +14,7 @@
             mpsc,
         },
         thread,
-        time::Instant,
+        time::{Duration, Instant},
     },
 };
 
@@ -28,8 +28,12 @@
 /// Lines above that rate that a burst may write.
 const BURST: u32 = 2000;
 
-/// Bytes that are written to standard output in one call, at most.
-const MAX_WRITE_BYTES: usize = 64 * 1024;
+/// Bytes that are written to standard output in one call, at most. A pipe takes as many as a whole, so that lines of
+/// several processes are not torn.
+const MAX_WRITE_BYTES: usize = 4096;
+
+/// Pause after a failed write.
+const WRITE_RETRY: Duration = Duration::from_millis(50);
 
 /// Writes lines from a thread of its own, so that a reader that stops reading blocks nothing else.
 #[derive(Debug)]
@@ -94,19 +98,20 @@
 }
 
 fn write(lines: &mpsc::Receiver<Vec<u8>>, mut output: Box<dyn Write + Send>) {
-    while let Ok(mut bytes) = lines.recv() {
-        while bytes.len() < MAX_WRITE_BYTES
-            && let Ok(more) = lines.try_recv()
-        {
+    let mut next = None;
+    while let Some(mut bytes) = next.take().or_else(|| lines.recv().ok()) {
+        while let Ok(more) = lines.try_recv() {
+            if bytes.len() + more.len() > MAX_WRITE_BYTES {
+                next = Some(more);
+                break;
+            }
             bytes.extend_from_slice(&more);
         }
-        // Without standard output there is nowhere to tell of it.
-        if output
-            .write_all(&bytes)
-            .and_then(|()| output.flush())
-            .is_err()
-        {
-            return;
+        match output.write_all(&bytes).and_then(|()| output.flush()) {
+            Ok(()) => {}
+            // Nobody reads any more, and without standard output there is nowhere to tell of it.
+            Err(error) if error.kind() == io::ErrorKind::BrokenPipe => return,
+            Err(_) => thread::sleep(WRITE_RETRY),
         }
     }
 }
--- a/crates/plan/src/engine/engine.rs
+++ b/crates/plan/src/engine/engine.rs
@@ -6,7 +6,7 @@
         track::{Phase, Track},
     },
     crate::learn::{Health, Pace},
-    indexmap::IndexMap,
+    indexmap::{IndexMap, IndexSet},
     std::time::{Duration, Instant},
     work::{
         book::{Book, Placement, Step, Void},
@@ -45,6 +45,8 @@
     pub(super) settings: Settings,
     pub(super) sessions: IndexMap<id::Upstream, Session>,
     pub(super) tracks: IndexMap<RunKey, Track>,
+    /// Jobs that had not ended when the book was last looked at.
+    open: IndexSet<id::Job>,
     /// Starts without an answer whose runs were given up.
     pub(super) loose: IndexMap<RunKey, Loose>,
     /// Placements that were proposed and are not known to be applied, by ticket.
@@ -78,6 +80,7 @@
             sessions: IndexMap::new(),
             tracks: IndexMap::new(),
             loose: IndexMap::new(),
+            open: IndexSet::new(),
             proposed: IndexMap::new(),
             voiding: IndexMap::new(),
             ending: IndexMap::new(),
@@ -163,6 +166,7 @@
         if self.seen_changes == Some(book.changes()) {
             return;
         }
+        self.note_ended_jobs(book);
         let first = self.seen_changes.is_none();
         self.seen_changes = Some(book.changes());
         self.dirty = true;
@@ -196,6 +200,20 @@
         }
     }
 
+    fn note_ended_jobs(&mut self, book: &Book) {
+        let open: IndexSet<id::Job> = book.open_jobs().map(|job| job.id).collect();
+        for job in self.open.difference(&open).filter_map(|id| book.job(*id)) {
+            let ended_ms = job.ended_ms.unwrap_or(self.time_ms);
+            log::info!(
+                "event=job_ended job={} state={} took_ms={}",
+                job.id,
+                job.state,
+                ended_ms.saturating_sub(job.accepted_ms)
+            );
+        }
+        self.open = open;
+    }
+
     /// Remembers a run that is over and of which a start may still be on its way.
     fn keep_loose(&mut self, key: RunKey, track: &Track) {
         if track.unanswered {
