Ask other control instances while one does not answer

Change: after 250 ms without an answer the next instance is asked too; calls can be repeated. The test with a frozen instance failed before (it waited for the connection to time out).

--- a/crates/gate/src/gate/gate.rs
+++ b/crates/gate/src/gate/gate.rs
@@ -1,6 +1,7 @@
 use {
     super::{Outcome, Targets},
     crate::call::{Reply, Request, SERVICE},
+    futures::{StreamExt, stream::FuturesUnordered},
     model::clock::Clock,
     peers::Peers,
     std::{
@@ -14,6 +15,10 @@
 /// Pause before another instance is asked while no leader is known. An election takes about a second.
 const PAUSE: Duration = Duration::from_millis(80);
 
+/// Time without an answer after which another instance is asked too. A commit across regions takes some 30 ms, one
+/// on a slow disk a few hundred.
+const ASK_OTHERS: Duration = Duration::from_millis(250);
+
 /// Redirects that are followed without a pause.
 const REDIRECTS: u32 = 3;
 
@@ -57,63 +62,70 @@
     }
 
     /// Calls the leader, and repeats the call for at most `patience` while none answers.
+    ///
+    /// An instance that is frozen or cut off looks like a slow one. While it does not answer, the others are asked
+    /// too, so that a new leader is found as soon as there is one.
     pub async fn call(&self, request: &Request, patience: Duration) -> Outcome {
         let bytes = match postcard::to_stdvec(request) {
             Ok(bytes) => bytes,
             Err(error) => return Outcome::NotRun(error.to_string()),
         };
         let until = self.shared.clock.now() + patience;
+        let mut attempts = FuturesUnordered::new();
+        let mut silent: Vec<u64> = Vec::new();
         let mut reason = "no control instance is known".to_owned();
         let mut unknown = false;
         let mut redirects = 0;
         loop {
-            let target = self.targets().pick();
             let left = until.saturating_duration_since(self.shared.clock.now());
             if left.is_zero() {
-                return match unknown {
+                return match unknown || !silent.is_empty() {
                     true => Outcome::Unknown(reason),
                     false => Outcome::NotRun(reason),
                 };
             }
-            let Some(target) = target else {
+            let target = self.targets().pick(&silent);
+            if let Some(target) = target {
+                silent.push(target);
+                let answer = self.shared.peers.propose(target, SERVICE, &bytes);
+                attempts.push(async move { (target, answer.await) });
+            }
+            let Ok(next) = time::timeout(ASK_OTHERS.min(left), attempts.next()).await else {
+                if let Some(target) = target {
+                    reason = format!("instance {target} has not answered");
+                }
+                continue;
+            };
+            let Some((target, answer)) = next else {
                 time::sleep(PAUSE.min(left)).await;
                 continue;
             };
-            let answer = self.shared.peers.propose(target, SERVICE, &bytes);
-            match time::timeout(left, answer).await {
-                Ok(Ok(Verdict::Answer(bytes))) => {
-                    return self.take(target, &bytes);
-                }
-                Ok(Ok(Verdict::NotLeader(leader))) => {
+            silent.retain(|id| *id != target);
+            match answer {
+                Ok(Verdict::Answer(bytes)) => return self.take(target, &bytes),
+                Ok(Verdict::NotLeader(leader)) => {
                     reason = format!("instance {target} does not lead");
+                    let news = leader.filter(|id| *id != target && !silent.contains(id));
                     let mut targets = self.targets();
-                    let news = leader.filter(|leader| *leader != target);
-                    targets.set_leader(news);
+                    if news.is_some() || targets.leader() == Some(target) {
+                        targets.set_leader(news);
+                    }
                     drop(targets);
                     redirects += 1;
                     if news.is_some() && redirects <= REDIRECTS {
                         continue;
                     }
                 }
-                Ok(Ok(Verdict::NotRun(text))) => reason = text,
-                Ok(Ok(Verdict::Unknown(text))) => {
+                Ok(Verdict::NotRun(text)) => reason = text,
+                Ok(Verdict::Unknown(text)) => {
                     unknown = true;
                     reason = text;
                 }
-                Ok(Err(peers::Error::NoAnswer(text))) => {
-                    unknown = true;
-                    reason = text;
-                    self.targets().fail(target);
-                }
-                Ok(Err(error)) => {
+                Err(error) => {
+                    unknown |= matches!(error, peers::Error::NoAnswer(_));
                     reason = error.to_string();
                     self.targets().fail(target);
                 }
-                Err(_) => {
-                    unknown = true;
-                    reason = format!("no answer from instance {target} in time");
-                    self.targets().fail(target);
-                }
             }
             time::sleep(PAUSE.min(left)).await;
         }
--- a/crates/gate/src/gate/targets.rs
+++ b/crates/gate/src/gate/targets.rs
@@ -39,21 +39,22 @@
         self.leader
     }
 
-    /// The leader if known, otherwise each known instance in turn.
-    pub fn pick(&mut self) -> Option<u64> {
-        if self.leader.is_some() {
-            return self.leader;
+    /// The leader if known, otherwise each known instance in turn; none of `except`.
+    pub fn pick(&mut self, except: &[u64]) -> Option<u64> {
+        if let Some(leader) = self.leader.filter(|leader| !except.contains(leader)) {
+            return Some(leader);
         }
         let members = self.members.iter();
         let seeds = self
             .seeds
             .iter()
             .filter(|seed| !self.members.contains(seed));
-        let all: Vec<u64> = members.chain(seeds).copied().collect();
-        if all.is_empty() {
+        let others = members.chain(seeds).filter(|id| !except.contains(id));
+        let others: Vec<u64> = others.copied().collect();
+        if others.is_empty() {
             return None;
         }
-        self.next = (self.next + 1) % all.len();
-        Some(all[self.next])
+        self.next = (self.next + 1) % others.len();
+        Some(others[self.next])
     }
 }
--- /dev/null
+++ b/crates/gate/tests/calls.rs
@@ -0,0 +1,97 @@
+//! Calls to instances of which some do not answer.
+
+use {
+    futures::FutureExt,
+    gate::{
+        Gate, Outcome,
+        call::{Reply, Request},
+    },
+    model::clock::System,
+    peers::{Handler, Peers},
+    roster::Directory,
+    std::{
+        net::{SocketAddr, SocketAddrV4, TcpListener},
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    wire::{Update, Verdict},
+};
+
+/// Time after which a call on a connection fails; a call that is answered sooner did not wait for it.
+const CONNECTION_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Answers every call.
+struct Leader;
+
+impl Handler for Leader {
+    fn deliver(&self, _: &str, _: u64, _: Vec<Vec<u8>>) {}
+
+    fn propose(&self, _: &str, _: &[u8]) -> peers::Reply<Verdict> {
+        let bytes = postcard::to_stdvec(&Reply::Done).unwrap();
+        async { Verdict::Answer(bytes) }.boxed()
+    }
+
+    fn query(&self, _: &str, _: &[u8]) -> peers::Reply<Verdict> {
+        async { Verdict::NotLeader(None) }.boxed()
+    }
+
+    fn follow(&self, _: u64, _: u64, _: u64) -> peers::Reply<Update> {
+        async { Update::NotLeader(None) }.boxed()
+    }
+
+    fn report(&self, _: &str, _: u64, _: &[u8]) -> peers::Reply<Verdict> {
+        async { Verdict::NotLeader(None) }.boxed()
+    }
+
+    fn gossip(&self, _: u64, _: &[u8]) -> Vec<u8> {
+        Vec::new()
+    }
+}
+
+fn v4(address: SocketAddr) -> SocketAddrV4 {
+    match address {
+        SocketAddr::V4(address) => address,
+        SocketAddr::V6(_) => unreachable!(),
+    }
+}
+
+fn bind() -> Peers {
+    let address = "127.0.0.1:0".parse().unwrap();
+    Peers::bind_with(1, address, Arc::new(Directory), CONNECTION_TIMEOUT).unwrap()
+}
+
+/// Guards against calls that wait for a frozen leader until the connection times out, although another one has been
+/// elected: its connection accepts and swallows everything.
+#[tokio::test]
+async fn a_frozen_leader_does_not_hold_up_calls() {
+    let frozen = TcpListener::bind("127.0.0.1:0").unwrap();
+    let frozen = roster::id(v4(frozen.local_addr().unwrap()));
+    let leader = bind();
+    leader.serve(Arc::new(Leader));
+    let gate = Gate::open(bind(), Arc::new(System));
+    gate.targets()
+        .set_seeds(vec![frozen, roster::id(v4(leader.address()))]);
+    gate.targets().set_leader(Some(frozen));
+    let start = Instant::now();
+    let outcome = gate.call(&Request::Ping, CONNECTION_TIMEOUT).await;
+    assert_eq!(outcome, Outcome::Answered(Reply::Done));
+    assert!(
+        start.elapsed() < CONNECTION_TIMEOUT / 2,
+        "{:?}",
+        start.elapsed()
+    );
+}
+
+/// Guards against a refusal that says "not run" although the call may have reached an instance.
+#[tokio::test]
+async fn a_call_without_an_answer_is_unknown() {
+    let frozen = TcpListener::bind("127.0.0.1:0").unwrap();
+    let gate = Gate::open(bind(), Arc::new(System));
+    gate.targets()
+        .set_seeds(vec![roster::id(v4(frozen.local_addr().unwrap()))]);
+    let outcome = gate.call(&Request::Ping, Duration::from_millis(600)).await;
+    assert!(matches!(outcome, Outcome::Unknown(_)), "{outcome:?}");
+    let gate = Gate::open(bind(), Arc::new(System));
+    let outcome = gate.call(&Request::Ping, Duration::from_millis(100)).await;
+    assert!(matches!(outcome, Outcome::NotRun(_)), "{outcome:?}");
+}
--- a/crates/gate/tests/targets.rs
+++ b/crates/gate/tests/targets.rs
@@ -6,14 +6,25 @@
 #[test]
 fn a_leader_that_fails_is_forgotten() {
     let mut targets = Targets::default();
-    assert_eq!(targets.pick(), None);
+    assert_eq!(targets.pick(&[]), None);
     targets.set_seeds(vec![1, 2]);
     targets.set_leader(Some(7));
-    assert_eq!(targets.pick(), Some(7));
+    assert_eq!(targets.pick(&[]), Some(7));
     targets.fail(1);
-    assert_eq!(targets.pick(), Some(7));
+    assert_eq!(targets.pick(&[]), Some(7));
     targets.fail(7);
-    assert!(matches!(targets.pick(), Some(1 | 2)));
+    assert!(matches!(targets.pick(&[]), Some(1 | 2)));
+}
+
+/// Guards against waiting for a leader that is silent while another instance could be asked.
+#[test]
+fn a_silent_leader_is_passed_over() {
+    let mut targets = Targets::default();
+    targets.set_seeds(vec![1, 2]);
+    targets.set_leader(Some(1));
+    assert_eq!(targets.pick(&[1]), Some(2));
+    assert_eq!(targets.pick(&[1, 2]), None);
+    assert_eq!(targets.leader(), Some(1));
 }
 
 /// Guards against an instance that asks the same dead seed again and again.
@@ -22,7 +33,7 @@
     let mut targets = Targets::default();
     targets.set_seeds(vec![1, 2, 3]);
     targets.set_members(vec![3, 4]);
-    let mut asked: Vec<u64> = (0..4).filter_map(|_| targets.pick()).collect();
+    let mut asked: Vec<u64> = (0..4).filter_map(|_| targets.pick(&[])).collect();
     asked.sort_unstable();
     assert_eq!(asked, [1, 2, 3, 4]);
 }
