--- /dev/null
+++ b/crates/plan/tests/order.rs
@@ -0,0 +1,223 @@
+//! The order in which ready work is considered, and how its class follows from time and failures.
+
+use {
+    indexmap::IndexSet,
+    plan::{
+        learn::{Health, Pace},
+        order::{self, Policy, Rank, Unit},
+    },
+    std::time::{Duration, Instant},
+    work::{
+        book::{Book, Command, Placement, Step},
+        config::{Account, Config, Queue, Service},
+        id,
+        job::{Form, Need, Repeat},
+        upstream::{End, How, Upstream},
+    },
+};
+
+const EARLY: Duration = Duration::from_millis(250);
+
+fn book() -> Book {
+    let queue = |name: &str, priority| Queue {
+        name: name.into(),
+        service: "pool".into(),
+        priority,
+        stretch: 2.0,
+        objective_ms: 1000,
+        attempts: 3,
+        ..Queue::default()
+    };
+    let config = Config {
+        version: 1,
+        queues: vec![queue("urgent", 0), queue("normal", 1)],
+        services: vec![Service {
+            name: "pool".into(),
+            ..Service::default()
+        }],
+        accounts: vec![Account {
+            name: "holder".into(),
+            keys: vec![],
+            guaranteed: 8,
+        }],
+        ..Config::default()
+    };
+    let mut book = Book::default();
+    let config = Box::new(config);
+    book.apply(Command::Configure { at_ms: 0, config });
+    book.apply(Command::Register {
+        upstream: Box::new(Upstream {
+            id: "a".into(),
+            born_ms: 1,
+            address: String::new(),
+            data_centre: "dc".into(),
+            service: "pool".into(),
+            capacity: Need::default(),
+            labels: vec![],
+            rack: String::new(),
+            draining: false,
+        }),
+    });
+    book
+}
+
+fn step(accelerators: i64) -> work::job::Step {
+    work::job::Step {
+        count: 1,
+        need: Need {
+            accelerators,
+            ..Need::default()
+        },
+        estimate_ms: 1000,
+        ..work::job::Step::default()
+    }
+}
+
+fn submit(book: &mut Book, job: u64, account: &str, queue: &str, form: Form, at_ms: u64) {
+    book.apply(Command::Submit {
+        at_ms,
+        job: id::Job(job),
+        account: Some(account.into()),
+        queue: queue.into(),
+        form: Box::new(form),
+    });
+}
+
+fn form(accelerators: i64) -> Form {
+    Form {
+        steps: vec![step(accelerators)],
+        ..Form::default()
+    }
+}
+
+fn units(book: &Book, time_ms: u64) -> Vec<Unit<'_>> {
+    let taken = IndexSet::new();
+    order::units(
+        book,
+        &Pace::default(),
+        time_ms,
+        EARLY,
+        &taken,
+        Policy::Worth,
+    )
+}
+
+fn ranks(book: &Book, time_ms: u64) -> Vec<(u64, Rank)> {
+    let units = units(book, time_ms);
+    units
+        .iter()
+        .map(|unit| (unit.name.job.0, unit.rank))
+        .collect()
+}
+
+/// Guards against a guaranteed job that waits behind others, and against a guarantee stretched beyond its size.
+#[test]
+fn guaranteed_work_comes_first_within_its_size() {
+    let mut book = book();
+    submit(&mut book, 1, "other", "normal", form(1), 0);
+    submit(&mut book, 2, "other", "urgent", form(1), 0);
+    submit(&mut book, 3, "holder", "urgent", form(8), 0);
+    let expected = [
+        (3, Rank::Guaranteed),
+        (2, Rank::Urgent),
+        (1, Rank::OnTime(1)),
+    ];
+    assert_eq!(ranks(&book, 0), expected);
+    submit(&mut book, 4, "holder", "urgent", form(1), 0);
+    assert!(
+        ranks(&book, 0)
+            .iter()
+            .all(|(_, rank)| *rank != Rank::Guaranteed)
+    );
+}
+
+/// Guards against work without any worth that takes room from work that still has some.
+#[test]
+fn late_work_steps_back() {
+    let mut book = book();
+    submit(&mut book, 1, "other", "normal", form(1), 0);
+    submit(&mut book, 2, "other", "normal", form(1), 9000);
+    // The objective is 2 x 1000 + 1000 ms; three times that is the end of its worth.
+    assert_eq!(
+        ranks(&book, 9000 - 5000),
+        [(1, Rank::Late(1)), (2, Rank::OnTime(1))]
+            .into_iter()
+            .rev()
+            .collect::<Vec<_>>()
+    );
+    assert_eq!(
+        ranks(&book, 9000),
+        [(2, Rank::OnTime(1)), (1, Rank::Worthless)]
+    );
+}
+
+/// Guards against a job that is put behind all others because a run of it failed: its objective allows for that. The
+/// load was a busy day of the planning platform, where such jobs waited up to 50 s for their second run.
+#[test]
+fn failed_runs_lengthen_the_objective() {
+    let mut book = book();
+    submit(&mut book, 1, "other", "normal", form(1), 0);
+    let task = id::Task {
+        job: id::Job(1),
+        occurrence: 0,
+        step: 0,
+        index: 0,
+    };
+    let assign = Step::Assign(vec![Placement {
+        task,
+        upstream: "a".into(),
+        born_ms: 1,
+    }]);
+    let failed = Step::Ended {
+        upstream: "a".into(),
+        born_ms: 1,
+        ends: vec![End {
+            number: 1,
+            task,
+            run: 1,
+            how: How::Failed,
+            checkpoint: String::new(),
+        }],
+    };
+    book.apply(Command::Progress {
+        at_ms: 2500,
+        steps: vec![assign, failed],
+    });
+    assert_eq!(ranks(&book, 2500), [(1, Rank::OnTime(1))]);
+}
+
+/// Guards against occurrences that start before they are due, or are forgotten once they are.
+#[test]
+fn occurrences_wait_until_they_are_due() {
+    let mut book = book();
+    let repeated = Form {
+        repeat: Some(Repeat {
+            count: 3,
+            first_ms: 10_000,
+            interval_ms: 4000,
+        }),
+        ..form(1)
+    };
+    submit(&mut book, 1, "other", "normal", repeated, 0);
+    let due = |time_ms| units(&book, time_ms).len();
+    assert_eq!(
+        [due(9700), due(10_000), due(14_000), due(60_000)],
+        [0, 1, 2, 3]
+    );
+}
+
+/// Guards against an upstream that fails everything and gets work all the same, or never again.
+#[test]
+fn a_failing_upstream_rests_and_is_tried_again() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut health = Health::default();
+    health.failed(at(0));
+    assert!(health.is_fit(at(0)) && !health.is_proven());
+    health.failed(at(100));
+    assert!(!health.is_fit(at(3000)) && health.is_fit(at(3200)));
+    health.failed(at(3300));
+    assert!(!health.is_fit(at(9000)) && health.is_fit(at(9400)));
+    health.done();
+    assert!(health.is_proven());
+}
--- /dev/null
+++ b/crates/plan/tests/place.rs
@@ -0,0 +1,203 @@
+//! Where units are placed, and what is stopped for them.
+
+use {
+    plan::{
+        order::{Rank, Unit},
+        place::{self, Host, Reach, Room},
+        reclaim::{self, Victim},
+    },
+    work::{
+        id,
+        job::{Need, Step},
+        upstream::Upstream,
+    },
+};
+
+const CAPACITY: Need = Need {
+    cpu_milli: 32_000,
+    memory_mb: 64_000,
+    accelerators: 8,
+};
+
+fn room(accelerators: i64) -> Need {
+    Need {
+        cpu_milli: 1000,
+        memory_mb: 100,
+        accelerators,
+    }
+}
+
+fn upstreams(count: usize) -> Vec<Upstream> {
+    let upstream = |number: usize| Upstream {
+        id: format!("u{number}").as_str().into(),
+        born_ms: 1,
+        address: String::new(),
+        data_centre: "dc".into(),
+        service: "pool".into(),
+        capacity: CAPACITY,
+        labels: vec!["a".into()],
+        rack: format!("r{}", number / 4),
+        draining: false,
+    };
+    (0..count).map(upstream).collect()
+}
+
+fn hosts(upstreams: &[Upstream]) -> Vec<Host<'_>> {
+    let host = |upstream| Host {
+        upstream,
+        free: CAPACITY,
+        soon: CAPACITY,
+        slowness: 0,
+        proven: true,
+        spread: vec![],
+    };
+    upstreams.iter().map(host).collect()
+}
+
+fn gang(step: &Step) -> Unit<'_> {
+    Unit {
+        name: id::Task {
+            job: id::Job(1),
+            occurrence: 0,
+            step: 0,
+            index: 0,
+        },
+        step,
+        tasks: (0..step.count).collect(),
+        room: step.room(),
+        service: "pool",
+        account: None,
+        priority: 0,
+        rank: Rank::Urgent,
+        start_by_ms: 0.0,
+        since_ms: 0,
+        last_chance: false,
+        advised: false,
+        failed_on: vec![],
+    }
+}
+
+fn step(count: u16, accelerators: i64) -> Step {
+    Step {
+        count,
+        need: room(accelerators),
+        gang: true,
+        same_rack: true,
+        ..Step::default()
+    }
+}
+
+fn all(hosts: &[Host<'_>]) -> Vec<bool> {
+    vec![true; hosts.len()]
+}
+
+/// Guards against gangs that split over racks, or break up an empty rack that a wider gang needs.
+#[test]
+fn a_gang_fills_the_rack_that_it_fits_best() {
+    let upstreams = upstreams(8);
+    let mut hosts = hosts(&upstreams);
+    for host in &mut hosts[4..] {
+        host.free -= room(6);
+        host.soon -= room(6);
+    }
+    let step = step(4, 2);
+    let allowed = all(&hosts);
+    let places = place::gang(&gang(&step), &hosts, &allowed, Room::Now, Reach::Near).unwrap();
+    assert_eq!(places, [4, 5, 6, 7]);
+}
+
+/// Guards against an upstream that gets more than it has room for, counting memory and cores as well.
+#[test]
+fn no_resource_is_overdrawn() {
+    let upstreams = upstreams(4);
+    let hosts = hosts(&upstreams);
+    let mut wide = step(5, 1);
+    wide.need.memory_mb = 60_000;
+    let allowed = all(&hosts);
+    assert_eq!(
+        place::gang(&gang(&wide), &hosts, &allowed, Room::Now, Reach::Near),
+        None
+    );
+    wide.count = 4;
+    let places = place::gang(&gang(&wide), &hosts, &allowed, Room::Now, Reach::Near).unwrap();
+    assert_eq!(places.len(), 4);
+    let mut places = places;
+    places.dedup();
+    assert_eq!(places.len(), 4);
+}
+
+/// Guards against urgent work on slow machines while fast ones are free.
+#[test]
+fn urgent_work_prefers_fast_places() {
+    let upstreams = upstreams(8);
+    let mut hosts = hosts(&upstreams);
+    for host in &mut hosts[..4] {
+        host.slowness = 3;
+    }
+    let step = step(2, 4);
+    let allowed = all(&hosts);
+    let places = place::gang(&gang(&step), &hosts, &allowed, Room::Now, Reach::Near).unwrap();
+    assert!(places.iter().all(|place| *place >= 4), "{places:?}");
+    let relaxed = Unit {
+        priority: 1,
+        ..gang(&step)
+    };
+    let places = place::gang(&relaxed, &hosts, &allowed, Room::Now, Reach::Near).unwrap();
+    assert!(places.iter().all(|place| *place < 4), "{places:?}");
+}
+
+/// Guards against a last attempt wasted on an upstream that has just failed others.
+#[test]
+fn the_last_attempt_goes_to_a_proven_upstream() {
+    let upstreams = upstreams(2);
+    let mut hosts = hosts(&upstreams);
+    hosts[0].proven = false;
+    let step = step(1, 1);
+    let last = Unit {
+        last_chance: true,
+        ..gang(&step)
+    };
+    let allowed = all(&hosts);
+    assert_eq!(place::single(&last, &hosts, &allowed, Reach::Far), Some(1));
+    let failed = Unit {
+        failed_on: vec!["u1".into()],
+        ..last
+    };
+    assert_eq!(place::single(&failed, &hosts, &allowed, Reach::Far), None);
+}
+
+fn victim(number: u64, host: usize, accelerators: i64, priority: u8, waste: f64) -> Victim {
+    let task = id::Task {
+        job: id::Job(number),
+        occurrence: 0,
+        step: 0,
+        index: 0,
+    };
+    Victim {
+        runs: vec![(task, 1)],
+        rooms: vec![(host, room(accelerators))],
+        priority,
+        waste,
+    }
+}
+
+/// Guards against more work stopped than needed, and against dear work stopped where cheap work would do.
+#[test]
+fn the_cheapest_victims_are_chosen_and_no_more() {
+    let upstreams = upstreams(4);
+    let mut hosts = hosts(&upstreams);
+    for host in &mut hosts {
+        host.free.accelerators = 0;
+        host.soon.accelerators = 0;
+    }
+    let victims = [
+        victim(1, 0, 8, 2, 500.0),
+        victim(2, 1, 8, 2, 10.0),
+        victim(3, 2, 8, 1, 1.0),
+        victim(4, 3, 4, 2, 3.0),
+    ];
+    let step = step(1, 8);
+    let allowed = all(&hosts);
+    let choice = reclaim::choose(&gang(&step), &hosts, &allowed, &victims, Reach::Near);
+    assert_eq!(choice, Some((vec![1], vec![1])));
+}
