--- a/crates/daemon/tests/soak/cluster.rs
+++ b/crates/daemon/tests/soak/cluster.rs
@@ -162,10 +162,11 @@
             .map(|number| address(number, CONTROL_PORT))
             .collect();
         let judge = Arc::new(Judge::default());
+        let over = Arc::new(AtomicBool::new(false));
         let upstreams =
-            (0..UPSTREAMS).map(|number| Upstream::spawn(number, &operators, judge.clone()));
+            (0..UPSTREAMS).map(|number| Upstream::spawn(number, &operators, &judge, &over));
         Cluster {
-            upstreams: upstreams.collect(),
+            upstreams: upstreams.collect::<Vec<_>>(),
             fronts: (CONTROLS..CONTROLS + ENTRIES)
                 .map(|number| Proxy::bind(address(number, FRONT_PORT)))
                 .collect(),
