Spread the heartbeats of many upstreams over the control instances

Change: beyond 400 upstreams each is told to report to one of the members by its id; a member acknowledges what tells nothing new and names it in its next greeting.

--- a/crates/dispatch/src/control/answer.rs
+++ b/crates/dispatch/src/control/answer.rs
@@ -41,7 +41,11 @@
                 clock_ms,
             } => self.hear(*upstream, sequence, clock_ms).await,
             Request::Leave { upstream, born_ms } => self.leave(upstream, born_ms).await,
-            Request::Greeting { member, wall_ms } => Ok(self.meet(member, wall_ms)),
+            Request::Greeting {
+                member,
+                wall_ms,
+                heard,
+            } => Ok(self.meet(member, wall_ms, heard)),
             Request::Ping => Ok(self.members()),
         };
         match answer {
@@ -198,6 +202,22 @@
         Ok(Reply::Done)
     }
 
+    /// Takes a heartbeat at an instance that does not lead, if it tells nothing new. The leader hears of it with the
+    /// next greeting; so its work does not grow with the number of heartbeats.
+    pub(super) fn hear_for_leader(&self, upstream: &Upstream, sequence: u64) -> bool {
+        let Some(ledger) = self.shared.replica.ledger() else {
+            return false;
+        };
+        let is_known = ledger.book().upstream(&upstream.id) == Some(upstream);
+        if !is_known || !self.is_newest(upstream, sequence) {
+            return false;
+        }
+        let heard = self.shared.heard.lock();
+        let mut heard = heard.unwrap_or_else(PoisonError::into_inner);
+        heard.insert(upstream.id.clone(), upstream.born_ms);
+        true
+    }
+
     /// Whether no later heartbeat of the upstream has arrived.
     fn is_newest(&self, upstream: &Upstream, sequence: u64) -> bool {
         let sequences = self.shared.sequences.lock();
@@ -228,7 +248,14 @@
         Ok(Reply::Done)
     }
 
-    fn meet(&self, member: Member, wall_ms: u64) -> Reply {
+    fn meet(&self, member: Member, wall_ms: u64, heard: Vec<(id::Upstream, u64)>) -> Reply {
+        for (upstream, born_ms) in heard {
+            self.wake(Event::Heard {
+                upstream,
+                born_ms,
+                clock_ms: None,
+            });
+        }
         let now = self.shared.clock.now();
         self.agreed().observe(member.id, wall_ms, now);
         let contact = Contact { member, heard: now };
--- a/crates/dispatch/src/control/control.rs
+++ b/crates/dispatch/src/control/control.rs
@@ -4,7 +4,10 @@
         lead::{Input, Lead},
         time::Agreed,
     },
-    gate::{Gate, Outcome, call::Request},
+    gate::{
+        Gate, Outcome,
+        call::{Reply, Request},
+    },
     indexmap::IndexMap,
     model::clock::Clock,
     peers::Peers,
@@ -23,6 +26,9 @@
 /// Wait for the answer of another instance. A commit across regions on a slow disk takes a few hundred milliseconds.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1200);
 
+/// Upstreams that send their heartbeats to the leader itself. Each costs it a connection and some 0.1 ms a heartbeat.
+const DIRECT_HEARTBEATS: usize = 400;
+
 /// Time for a new leader to take over before this instance ends.
 const HANDOVER: Duration = Duration::from_millis(400);
 
@@ -42,6 +48,8 @@
     pub roster: roster::Settings,
     /// Highest sequence of the heartbeats of each upstream's life.
     pub sequences: Mutex<IndexMap<id::Upstream, (u64, u64)>>,
+    /// Upstreams whose heartbeats were acknowledged here and not passed on yet.
+    pub heard: Mutex<IndexMap<id::Upstream, u64>>,
     pub inputs: mpsc::UnboundedSender<Input>,
 }
 
@@ -76,6 +84,7 @@
                 contacts: Mutex::default(),
                 roster: roster::Settings::tolerating(setup.tolerated_losses),
                 sequences: Mutex::default(),
+                heard: Mutex::default(),
                 inputs: inputs.clone(),
             }),
         };
@@ -108,6 +117,13 @@
                 Verdict::NotLeader(_) => {}
             }
         }
+        if let Request::Heartbeat {
+            upstream, sequence, ..
+        } = &request
+            && self.hear_for_leader(upstream, *sequence)
+        {
+            return Outcome::Answered(Reply::Done);
+        }
         let leader = self.shared.replica.leader();
         if let Some(leader) = leader.filter(|leader| *leader != self.shared.id) {
             self.shared.gate.targets().set_leader(Some(leader));
@@ -120,6 +136,23 @@
         self.shared.replica.leader()
     }
 
+    /// The instance to which an upstream should send its heartbeats, if one is known.
+    ///
+    /// Few upstreams report to the leader itself; many are spread over the members, each of which has only so many
+    /// descriptors for their connections.
+    pub fn heartbeat_target(&self, upstream: &id::Upstream) -> Option<u64> {
+        let view = self.shared.replica.view();
+        let known = self.shared.replica.ledger()?.book().upstreams().count();
+        if known <= DIRECT_HEARTBEATS || view.members.voters.is_empty() {
+            return view.leader;
+        }
+        let hash = upstream.as_str().bytes().fold(0_usize, |hash, byte| {
+            hash.wrapping_mul(31).wrapping_add(usize::from(byte))
+        });
+        let voter = view.members.voters[hash % view.members.voters.len()];
+        Some(voter.id)
+    }
+
     /// Replaces the other instances that the settings name.
     pub fn set_seeds(&self, seeds: impl IntoIterator<Item = std::net::SocketAddrV4>) {
         let seeds = seeds.into_iter().map(roster::id).collect();
--- a/crates/dispatch/src/control/greet.rs
+++ b/crates/dispatch/src/control/greet.rs
@@ -2,7 +2,7 @@
     super::Control,
     gate::{Outcome, call::Request},
     quorum::Change,
-    std::time::Duration,
+    std::{sync::PoisonError, time::Duration},
     tokio::time,
 };
 
@@ -32,7 +32,13 @@
     let Some(member) = control.shared.replica.member() else {
         return;
     };
-    let request = Request::Greeting { member, wall_ms };
+    let heard = control.shared.heard.lock();
+    let heard = std::mem::take(&mut *heard.unwrap_or_else(PoisonError::into_inner));
+    let request = Request::Greeting {
+        member,
+        wall_ms,
+        heard: heard.into_iter().collect(),
+    };
     let leader = control
         .leader()
         .filter(|leader| *leader != control.shared.id);
--- a/crates/dispatch/src/lead/lead.rs
+++ b/crates/dispatch/src/lead/lead.rs
@@ -16,7 +16,7 @@
 const TICK: Duration = Duration::from_millis(50);
 
 /// Events of one round.
-const MAX_BATCH: usize = 256;
+const MAX_BATCH: usize = 4096;
 
 /// An event of one term; those of an earlier term are dropped.
 pub(crate) type Input = (u64, Event);
--- a/crates/dispatch/tests/group.rs
+++ b/crates/dispatch/tests/group.rs
@@ -15,7 +15,7 @@
         sync::Arc,
         time::{Duration, Instant},
     },
-    work::{config::Config, id},
+    work::{config::Config, id, job::Need, upstream::Upstream},
 };
 
 /// Far above what a group needs to form, so that a busy machine does not change the verdict.
@@ -136,6 +136,67 @@
     assert_eq!(leading.count(), 1);
 }
 
+fn heartbeat(sequence: u64, draining: bool) -> Request {
+    Request::Heartbeat {
+        upstream: Box::new(Upstream {
+            id: "i-1".into(),
+            born_ms: 1,
+            address: "127.0.0.1:9".into(),
+            data_centre: "dc".into(),
+            service: "pool".into(),
+            capacity: Need::default(),
+            labels: vec![],
+            rack: String::new(),
+            draining,
+        }),
+        sequence,
+        clock_ms: None,
+    }
+}
+
+fn is_draining(control: &Control) -> Option<bool> {
+    let ledger = control.replica().ledger()?;
+    let book = ledger.book();
+    book.upstream(&"i-1".into())
+        .map(|upstream| upstream.draining)
+}
+
+/// Guards against a departure that an instance acknowledges and the leader never hears of, and against an old heartbeat
+/// that undoes it.
+#[tokio::test]
+async fn heartbeats_are_taken_at_every_instance() {
+    let addresses = addresses(3);
+    let folders: Vec<_> = (0..3).map(|_| tempfile::tempdir().unwrap()).collect();
+    let start = |number: usize| spawn(addresses[number], &addresses, folders[number].path(), true);
+    let controls: Vec<Control> = (0..3).map(start).collect();
+    let patience = Duration::from_secs(20);
+    let done = Outcome::Answered(Reply::Done);
+    for (number, control) in controls.iter().enumerate() {
+        let sequence = number as u64 + 1;
+        assert_eq!(
+            control.call(heartbeat(sequence, false), patience).await,
+            done
+        );
+    }
+    for control in &controls {
+        until("a known upstream", async || {
+            is_draining(control) == Some(false)
+        })
+        .await;
+    }
+    let follower = controls
+        .iter()
+        .find(|control| control.replica().leading_term().is_none());
+    let follower = follower.unwrap();
+    assert_eq!(follower.call(heartbeat(8, true), patience).await, done);
+    let leader = controls
+        .iter()
+        .find(|control| control.replica().leading_term().is_some());
+    assert_eq!(is_draining(leader.unwrap()), Some(true));
+    assert_eq!(follower.call(heartbeat(7, false), patience).await, done);
+    assert_eq!(is_draining(leader.unwrap()), Some(true));
+}
+
 /// Guards against a replaced disk that forms a group of its own: without a first start it waits for the others.
 #[tokio::test]
 async fn an_empty_disk_alone_never_forms_a_group() {
