Do not carry out decisions from before a pause

A decision older than 700 ms is now given back to the router as unsent. The daemon's clock also counts suspended time now, as that of the platform's roles does.

--- a/crates/daemon/src/daemon/options.rs
+++ b/crates/daemon/src/daemon/options.rs
@@ -1,5 +1,5 @@
 use {
-    model::clock::{Clock, System},
+    model::clock::{Boot, Clock},
     std::sync::Arc,
 };
 
@@ -16,7 +16,7 @@
     fn default() -> Options {
         Options {
             bootstrap: false,
-            clock: Arc::new(System),
+            clock: Arc::new(Boot::open()),
         }
     }
 }
--- a/crates/entry/src/desk/desk.rs
+++ b/crates/entry/src/desk/desk.rs
@@ -21,6 +21,8 @@
 struct Inner {
     router: Router,
     inboxes: HashMap<u64, UnboundedSender<Action>>,
+    /// When each attempt that has not begun was decided on.
+    decided: HashMap<u64, Instant>,
 }
 
 /// One instance's router, shared by its connections and its messages to other instances.
@@ -43,6 +45,7 @@
         let inner = Mutex::new(Inner {
             router,
             inboxes: HashMap::new(),
+            decided: HashMap::new(),
         });
         Arc::new(Desk {
             inner,
@@ -113,6 +116,12 @@
         self.boot
     }
 
+    /// When an attempt that begins now was decided on.
+    pub(super) fn take_decision(&self, attempt: u64) -> Instant {
+        let decided = self.lock().decided.remove(&attempt);
+        decided.unwrap_or_else(|| self.clock.now())
+    }
+
     pub(super) fn close(&self, request: u64) {
         self.lock().inboxes.remove(&request);
         self.observe(Event::Abandoned { request });
@@ -152,6 +161,9 @@
                     .inboxes
                     .get(&request)
                     .is_some_and(|inbox| inbox.send(action).is_ok());
+                if let (true, Some(attempt)) = (sent, attempt) {
+                    self.decided.insert(attempt, now);
+                }
                 if let (false, Some(attempt)) = (sent, attempt) {
                     let event = Event::Finished {
                         attempt,
--- a/crates/entry/src/desk/ticket.rs
+++ b/crates/entry/src/desk/ticket.rs
@@ -1,10 +1,17 @@
 use {
     super::Desk,
     route::{Action, Event, Outcome, retry::Progress},
-    std::sync::Arc,
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
     tokio::sync::mpsc::UnboundedReceiver,
 };
 
+/// Age beyond which a decision to send is not carried out. Connecting to an upstream takes a round trip; a router
+/// decides again in less than a millisecond.
+const MAX_DECISION_AGE: Duration = Duration::from_millis(700);
+
 /// A request's place at the desk; dropping it tells the router that the request is gone.
 pub(crate) struct Ticket {
     desk: Arc<Desk>,
@@ -56,14 +63,17 @@
     desk: Arc<Desk>,
     attempt: u64,
     progress: Progress,
+    decided: Instant,
     open: bool,
 }
 
 impl Guard {
     pub(crate) fn new(desk: Arc<Desk>, attempt: u64) -> Guard {
+        let decided = desk.take_decision(attempt);
         Guard {
             desk,
             attempt,
+            decided,
             progress: Progress::Unsent,
             open: true,
         }
@@ -79,6 +89,13 @@
         self.progress
     }
 
+    /// Whether the decision is too old to act on. What it rests on, such as the last sign of life of the upstream,
+    /// may have changed while this process was suspended.
+    pub(crate) fn is_outdated(&self) -> bool {
+        let now = self.desk.clock().now();
+        now.saturating_duration_since(self.decided) > MAX_DECISION_AGE
+    }
+
     /// To be called immediately before the first byte may leave.
     pub(crate) fn sent(&mut self) {
         self.progress = Progress::Sent;
--- a/crates/entry/src/filter/forward.rs
+++ b/crates/entry/src/filter/forward.rs
@@ -131,6 +131,10 @@
             forbidden: true,
         });
     }
+    if guard.is_outdated() {
+        log::info!(upstream = address.as_str(); "event=decision_outdated");
+        return Err(fail(guard));
+    }
     let Some(body) = Outgoing::new(
         call.clone(),
         settings.max_body,
