--- a/crates/dispatch/src/control/answer.rs
+++ b/crates/dispatch/src/control/answer.rs
@@ -4,7 +4,8 @@
     plan::engine::Event,
     quorum::Member,
     roster::Contact,
-    std::sync::PoisonError,
+    std::{sync::PoisonError, time::Duration},
+    tokio::time,
     wire::Verdict,
     work::{
         book::{Answer, Book, Command, Job, State},
@@ -15,6 +16,10 @@
     },
 };
 
+/// Time for the last ends that a leaving upstream has listed to be committed. It waits for the acknowledgement for a
+/// second.
+const LAST_ENDS: Duration = Duration::from_millis(300);
+
 /// Where a call leads.
 struct Place {
     queue: String,
@@ -238,6 +243,8 @@
         if born_ms.is_some_and(|born_ms| born_ms != known) {
             return Ok(Reply::Done);
         }
+        // Ends that it has just listed are being committed; they count, and must not come after its removal.
+        time::sleep(LAST_ENDS).await;
         log::info!("event=upstream_left upstream={upstream} born_ms={known}");
         let command = Command::Leave {
             upstream,
--- a/crates/dispatch/tests/group.rs
+++ b/crates/dispatch/tests/group.rs
@@ -15,7 +15,13 @@
         sync::Arc,
         time::{Duration, Instant},
     },
-    work::{config::Config, id, job::Need, upstream::Upstream},
+    work::{
+        book::{self, Command},
+        config::Config,
+        id,
+        job::{Form, Need, Step},
+        upstream::{End, How, Upstream},
+    },
 };
 
 /// Far above what a group needs to form, so that a busy machine does not change the verdict.
@@ -197,6 +203,77 @@
     assert_eq!(is_draining(leader.unwrap()), Some(true));
 }
 
+/// Guards against a task that runs again although its upstream listed it as done just before it left: the removal of
+/// the upstream came before the end, which was on its way to the log.
+#[tokio::test]
+async fn the_last_ends_of_an_upstream_count() {
+    let address = addresses(1)[0];
+    let folder = tempfile::tempdir().unwrap();
+    let control = spawn(address, &[address], folder.path(), true);
+    let patience = Duration::from_secs(20);
+    let done = Outcome::Answered(Reply::Done);
+    assert_eq!(control.call(heartbeat(1, false), patience).await, done);
+    let job = id::Job(5);
+    let task = id::Task {
+        job,
+        occurrence: 0,
+        step: 0,
+        index: 0,
+    };
+    let form = Form {
+        steps: vec![Step {
+            count: 1,
+            ..Step::default()
+        }],
+        ..Form::default()
+    };
+    let progress = |step| Command::Progress {
+        at_ms: 1,
+        steps: vec![step],
+    };
+    let submit = Command::Submit {
+        at_ms: 1,
+        job,
+        account: None,
+        queue: "none".into(),
+        form: Box::new(form),
+    };
+    let assign = progress(book::Step::Assign(vec![book::Placement {
+        task,
+        upstream: "i-1".into(),
+        born_ms: 1,
+    }]));
+    for command in [submit, assign] {
+        control.replica().propose(&command).await.unwrap();
+    }
+    let leaves = Request::Leave {
+        upstream: "i-1".into(),
+        born_ms: Some(1),
+    };
+    let ended = progress(book::Step::Ended {
+        upstream: "i-1".into(),
+        born_ms: 1,
+        ends: vec![End {
+            number: 1,
+            task,
+            run: 1,
+            how: How::Done,
+            checkpoint: String::new(),
+        }],
+    });
+    let commit = async {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        control.replica().propose(&ended).await.unwrap()
+    };
+    let (left, _) = tokio::join!(control.call(leaves, patience), commit);
+    assert_eq!(left, done);
+    let ledger = control.replica().ledger().unwrap();
+    assert_eq!(
+        ledger.book().job(job).unwrap().state,
+        book::State::Completed
+    );
+}
+
 /// Guards against a replaced disk that forms a group of its own: without a first start it waits for the others.
 #[tokio::test]
 async fn an_empty_disk_alone_never_forms_a_group() {
