--- a/crates/sim/src/world/happening.rs
+++ b/crates/sim/src/world/happening.rs
@@ -16,7 +16,7 @@
 #[derive(Clone, Debug)]
 pub(super) enum Happening {
     Tick,
-    Beat,
+    Heartbeat,
     Arrive(Box<Arrival>),
     Commit {
         term: u64,
--- a/crates/sim/src/world/world.rs
+++ b/crates/sim/src/world/world.rs
@@ -27,7 +27,7 @@
 const TICK_MS: f64 = 50.0;
 
 /// Interval of heartbeats, in milliseconds.
-const BEAT_MS: f64 = 1500.0;
+const HEARTBEAT_MS: f64 = 1500.0;
 
 /// How many times as long work takes in the slower data centre.
 const SLOWER_PACE: f64 = 1.3;
@@ -107,7 +107,7 @@
             self.upstreams.insert(id, model);
         }
         self.at(0.0, Happening::Tick);
-        self.at(0.0, Happening::Beat);
+        self.at(0.0, Happening::Heartbeat);
         self.at(0.0, Happening::Watch);
         for arrival in self.load.draw(self.setup.seed) {
             self.at(arrival.at_ms as f64, Happening::Arrive(Box::new(arrival)));
@@ -169,9 +169,9 @@
                 self.at(self.now_ms + TICK_MS, Happening::Tick);
                 self.step(Vec::new());
             }
-            Happening::Beat => {
-                self.at(self.now_ms + BEAT_MS, Happening::Beat);
-                self.beat();
+            Happening::Heartbeat => {
+                self.at(self.now_ms + HEARTBEAT_MS, Happening::Heartbeat);
+                self.hear_upstreams();
             }
             Happening::Arrive(arrival) => self.arrive(*arrival),
             Happening::Commit {
@@ -288,7 +288,7 @@
         }
     }
 
-    pub(super) fn beat(&mut self) {
+    pub(super) fn hear_upstreams(&mut self) {
         let mut events = Vec::new();
         for (number, (id, upstream)) in self.upstreams.clone().iter().enumerate() {
             if self.cut.contains_key(id) {
