Keep room free for urgent work that is about to arrive

Cause: on the grown ringing service the accelerators are full from the first burst on. Tasks that save checkpoints were charged for work that their stop saves.

Change: accelerators that urgent work used in the last seconds stay free for its next jobs; single tasks leave 5 % to gangs that wait; a stop of work that saves counts as half a second; the waste that an urgent gang may cause grows with its own work. A line 'load' a second tells what is free and what waits.

--- a/crates/plan/src/engine/engine.rs
+++ b/crates/plan/src/engine/engine.rs
@@ -5,7 +5,10 @@
         session::Session,
         track::{Phase, Track},
     },
-    crate::learn::{Health, Pace},
+    crate::{
+        headroom::Headroom,
+        learn::{Health, Pace},
+    },
     indexmap::{IndexMap, IndexSet},
     std::time::{Duration, Instant},
     work::{
@@ -76,6 +79,9 @@
     next_plan: Instant,
     next_watch: Instant,
     next_expire: Instant,
+    pub(super) next_report: Instant,
+    /// By service.
+    pub(super) headroom: IndexMap<String, Headroom>,
 }
 
 impl Engine {
@@ -105,6 +111,8 @@
             next_plan: now,
             next_watch: now,
             next_expire: now + EXPIRE_PAUSE,
+            next_report: now,
+            headroom: IndexMap::new(),
         }
     }
 
--- a/crates/plan/src/engine/hold.rs
+++ b/crates/plan/src/engine/hold.rs
@@ -174,7 +174,6 @@
                 }
                 if running.checkpoint != track.checkpoint {
                     track.checkpoint.clone_from(&running.checkpoint);
-                    track.saved = now;
                 }
                 track.listed = true;
                 if !matches!(track.phase, Phase::Started { .. } | Phase::Sending { .. }) {
--- a/crates/plan/src/engine/planning.rs
+++ b/crates/plan/src/engine/planning.rs
@@ -1,11 +1,13 @@
 use {
     super::{Engine, engine::RunKey},
     crate::{
+        headroom::{Headroom, Supply},
         order::{self, Rank, Unit},
         place::{self, Host, Reach, Room},
         reclaim::{self, Victim},
     },
     indexmap::{IndexMap, IndexSet},
+    std::time::Duration,
     work::{
         book::{Book, Placement, Step},
         id,
@@ -19,10 +21,6 @@
 /// Most units for which victims are searched in one round; the search is the costliest part of it.
 const MAX_RECLAIMS: usize = 6;
 
-/// Core-seconds that may be thrown away for one urgent unit that no guarantee covers. At the platform's prices
-/// more would cost as much as the unit earns.
-const MAX_WASTE: f64 = 600.0;
-
 /// Share of a service's accelerators in use below which work may go far from its data or its gang: idle room is
 /// better used slowly than not at all.
 const IDLE_SHARE: f64 = 0.5;
@@ -36,6 +34,9 @@
 /// Percentage of progress after which a run is not stopped any more: it ends by itself about as soon.
 const NEARLY_DONE_PERCENT: u8 = 90;
 
+/// Time between two log lines on what waits and what is free.
+const REPORT_PAUSE: Duration = Duration::from_secs(1);
+
 /// What one round of planning works on.
 struct Round<'a> {
     book: &'a Book,
@@ -46,6 +47,39 @@
     assigned: usize,
     reclaims: usize,
     guaranteed: IndexSet<&'a str>,
+    /// Room that urgent work uses, by service.
+    urgent: IndexMap<&'a str, Need>,
+    /// Accelerators by service.
+    supply: IndexMap<&'a str, Supply>,
+}
+
+impl Round<'_> {
+    /// Counts the room of a run if it is urgent work.
+    fn count_urgent(&mut self, task: &id::Task, room: Need) {
+        let queue = self
+            .book
+            .job(task.job)
+            .and_then(|job| self.book.queue(&job.queue));
+        if let Some(queue) = queue.filter(|queue| queue.priority == 0) {
+            *self.urgent.entry(&queue.service).or_default() += room;
+        }
+    }
+
+    /// How many tasks of a unit may be started.
+    fn allowance(&self, unit: &Unit<'_>) -> usize {
+        let supply = self.supply.get(unit.service);
+        supply.map_or(0, |supply| supply.allowance(unit))
+    }
+
+    /// Takes room for tasks of a unit.
+    fn take(&mut self, unit: &Unit<'_>, places: &[usize]) {
+        for place in places {
+            self.hosts[*place].take(unit);
+        }
+        if let Some(supply) = self.supply.get_mut(unit.service) {
+            supply.take(unit, places.len());
+        }
+    }
 }
 
 /// Planning: places ready work and makes room for urgent work.
@@ -67,6 +101,7 @@
             &taken,
             self.settings.policy,
         );
+        self.report_load(&round, &units);
         for unit in &units {
             if round.assigned >= MAX_ASSIGNED {
                 break;
@@ -80,7 +115,44 @@
         }
     }
 
-    fn open_round<'a>(&self, book: &'a Book) -> Round<'a> {
+    /// Logs what waits and what is free, once a while.
+    fn report_load(&mut self, round: &Round<'_>, units: &[Unit<'_>]) {
+        if self.now < self.next_report {
+            return;
+        }
+        self.next_report = self.now + REPORT_PAUSE;
+        let waiting = |wanted: fn(Rank) -> bool| {
+            let units = units.iter().filter(|unit| wanted(unit.rank));
+            units.map(|unit| unit.tasks.len()).sum::<usize>()
+        };
+        let mut free = Need::default();
+        let mut capacity = Need::default();
+        for host in &round.hosts {
+            free += host.free;
+            capacity += host.upstream.capacity;
+        }
+        log::info!(
+            "event=load usable={} runs={} accelerators_free={} of={} cores_free={:.0} empty={} waiting_urgent={} waiting_urgent_late={} waiting_on_time={} waiting_late={} waiting_worthless={} kept={}",
+            round.hosts.len(),
+            self.tracks.len(),
+            free.accelerators,
+            capacity.accelerators,
+            free.cpu_milli as f64 / 1000.0,
+            round
+                .hosts
+                .iter()
+                .filter(|host| host.free == host.upstream.capacity)
+                .count(),
+            waiting(|rank| matches!(rank, Rank::Guaranteed | Rank::Urgent)),
+            waiting(|rank| rank == Rank::UrgentLate),
+            waiting(|rank| matches!(rank, Rank::OnTime(_))),
+            waiting(|rank| matches!(rank, Rank::Late(_))),
+            waiting(|rank| rank == Rank::Worthless),
+            round.supply.values().map(|supply| supply.held).sum::<i64>(),
+        );
+    }
+
+    fn open_round<'a>(&mut self, book: &'a Book) -> Round<'a> {
         let mut hosts = Vec::new();
         let mut positions = IndexMap::new();
         for upstream in book.upstreams() {
@@ -111,15 +183,37 @@
             assigned: 0,
             reclaims: 0,
             guaranteed: order::guaranteed_accounts(book),
+            urgent: IndexMap::new(),
+            supply: IndexMap::new(),
         };
         self.charge(&mut round);
         round.idle = idle_services(&round.hosts);
+        self.keep_headroom(&mut round);
         round
     }
 
+    /// Works out what other work than urgent work may take.
+    fn keep_headroom(&mut self, round: &mut Round<'_>) {
+        let now = self.now;
+        for host in &round.hosts {
+            let service = host.upstream.service.as_str();
+            let supply = round.supply.entry(service).or_default();
+            supply.free += host.soon.accelerators.max(0);
+            supply.capacity += host.upstream.capacity.accelerators;
+        }
+        for (service, supply) in &mut round.supply {
+            let used = round.urgent.get(service).copied().unwrap_or_default();
+            let entry = self.headroom.entry((*service).to_owned());
+            let headroom = entry.or_insert_with(|| Headroom::new(now));
+            headroom.observe(used, now);
+            supply.held = headroom.accelerators();
+        }
+    }
+
     /// Takes off what runs, is about to run, or is being stopped.
     fn charge(&self, round: &mut Round<'_>) {
         for (upstream, key, live) in round.book.live() {
+            round.count_urgent(&key.0, live.room);
             let Some(position) = round.positions.get(upstream) else {
                 continue;
             };
@@ -142,12 +236,20 @@
         }
         for placement in self.proposed.values().flatten() {
             let (Some(position), Some(step)) = (
-                round.positions.get(&placement.upstream),
+                round.positions.get(&placement.upstream).copied(),
                 round.book.step(&placement.task),
             ) else {
                 continue;
             };
-            let host = &mut round.hosts[*position];
+            if round
+                .book
+                .task(&placement.task)
+                .is_some_and(|task| !task.live.is_empty())
+            {
+                continue;
+            }
+            round.count_urgent(&placement.task, step.room());
+            let host = &mut round.hosts[position];
             host.free -= step.room();
             host.soon -= step.room();
             if step.spread.is_some() {
@@ -157,17 +259,23 @@
     }
 
     fn plan_gang(&mut self, round: &mut Round<'_>, unit: &Unit<'_>, allowed: &[bool]) {
+        if round.allowance(unit) < unit.tasks.len() {
+            return;
+        }
         let reach = self.reach(round, unit, allowed);
         if let Some(places) = place::gang(unit, &round.hosts, allowed, Room::Now, reach) {
             self.assign(round, unit, &places);
             return;
         }
-        if !unit.rank.may_displace() {
+        let Some(limit) = unit.rank.displaces(self.work(round, unit)) else {
+            if let Some(supply) = round.supply.get_mut(unit.service) {
+                supply.await_room(unit);
+            }
             return;
-        }
+        };
         // Room that is being freed is set aside, so that nothing of lower rank takes it.
         if let Some(places) = place::gang(unit, &round.hosts, allowed, Room::Soon, reach) {
-            set_aside(round, unit, &places);
+            round.take(unit, &places);
             return;
         }
         if round.reclaims >= MAX_RECLAIMS {
@@ -180,7 +288,7 @@
             return;
         };
         let waste: f64 = chosen.iter().map(|position| victims[*position].waste).sum();
-        if unit.rank != Rank::Guaranteed && waste > MAX_WASTE {
+        if waste > limit {
             return;
         }
         log::info!(
@@ -198,14 +306,18 @@
             for key in &victims[position].runs {
                 self.stop(*key, "reclaim");
             }
+            if let Some(supply) = round.supply.get_mut(unit.service) {
+                let freed = victims[position].rooms.iter();
+                supply.free += freed.map(|(_, room)| room.accelerators).sum::<i64>();
+            }
         }
-        set_aside(round, unit, &places);
+        round.take(unit, &places);
     }
 
     fn plan_singles(&mut self, round: &mut Round<'_>, unit: &Unit<'_>, allowed: &[bool]) {
         let reach = self.reach(round, unit, allowed);
         for index in &unit.tasks {
-            if round.assigned >= MAX_ASSIGNED {
+            if round.assigned >= MAX_ASSIGNED || round.allowance(unit) == 0 {
                 return;
             }
             let Some(place) = place::single(unit, &round.hosts, allowed, reach) else {
@@ -219,6 +331,15 @@
         }
     }
 
+    /// Expected work of a unit in core-seconds.
+    fn work(&self, round: &Round<'_>, unit: &Unit<'_>) -> f64 {
+        let Some(job) = round.book.job(unit.name.job) else {
+            return 0.0;
+        };
+        let seconds = self.pace.expected_ms(job, unit.step) / 1000.0;
+        seconds * unit.room.cores() * unit.tasks.len() as f64
+    }
+
     /// Whether the unit should wait for a place near its data and its other members.
     fn reach(&self, round: &Round<'_>, unit: &Unit<'_>, allowed: &[bool]) -> Reach {
         if !unit.wants_rack() || !place::could_be_near(unit, &round.hosts, allowed) {
@@ -235,10 +356,10 @@
     }
 
     fn assign(&mut self, round: &mut Round<'_>, unit: &Unit<'_>, places: &[usize]) {
+        round.take(unit, places);
         let mut placements = Vec::with_capacity(places.len());
         for (index, place) in unit.tasks.iter().zip(places) {
-            let host = &mut round.hosts[*place];
-            host.take(unit);
+            let host = &round.hosts[*place];
             placements.push(Placement {
                 task: unit.task(*index),
                 upstream: host.upstream.id.clone(),
@@ -289,7 +410,10 @@
                 waste: 0.0,
             });
             victim.runs.push(*key);
-            victim.waste += track.unsaved(self.now);
+            victim.waste += {
+                let age = self.now.saturating_duration_since(track.since);
+                reclaim::loss(&track.room, age, step.checkpoints)
+            };
             if let Some(position) = round.positions.get(&track.upstream) {
                 victim.rooms.push((*position, track.room));
             }
@@ -299,12 +423,6 @@
     }
 }
 
-fn set_aside(round: &mut Round<'_>, unit: &Unit<'_>, places: &[usize]) {
-    for place in places {
-        round.hosts[*place].take(unit);
-    }
-}
-
 fn idle_services(hosts: &[Host<'_>]) -> IndexMap<String, bool> {
     let mut totals: IndexMap<String, (Need, Need)> = IndexMap::new();
     for host in hosts {
--- a/crates/plan/src/engine/track.rs
+++ b/crates/plan/src/engine/track.rs
@@ -49,9 +49,8 @@
     pub percent: u8,
     /// When `percent` last rose.
     pub moved: Instant,
-    /// Latest checkpoint and when it was first seen.
+    /// Latest checkpoint.
     pub checkpoint: String,
-    pub saved: Instant,
     /// Since when the task needs no run any more.
     pub surplus: Option<Instant>,
     /// Whether it resumed from a checkpoint.
@@ -79,19 +78,8 @@
             percent: 0,
             moved: now,
             checkpoint: String::new(),
-            saved: now,
             surplus: None,
             resumed: false,
         }
     }
-
-    /// Core-seconds that a stop would throw away now.
-    pub fn unsaved(&self, now: Instant) -> f64 {
-        let since = if self.checkpoint.is_empty() {
-            self.since
-        } else {
-            self.saved
-        };
-        now.saturating_duration_since(since).as_secs_f64() * self.room.cores()
-    }
 }
--- /dev/null
+++ b/crates/plan/src/headroom/supply.rs
@@ -0,0 +1,48 @@
+use crate::order::{Rank, Unit};
+
+/// Share of a service's accelerators that single tasks leave to gangs that wait. Gangs need many at once, so single
+/// tasks would take each of them as it becomes free.
+const GANG_SHARE: f64 = 0.05;
+
+/// Accelerators of a service during one round of planning.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Supply {
+    /// All that its usable upstreams have.
+    pub capacity: i64,
+    /// Free or being freed, and not set aside.
+    pub free: i64,
+    /// Kept free for urgent work that has not arrived yet.
+    pub held: i64,
+    /// Left by single tasks to gangs that wait.
+    pub awaited: i64,
+}
+
+impl Supply {
+    /// How many tasks of a unit may be started.
+    pub fn allowance(&self, unit: &Unit<'_>) -> usize {
+        let each = unit.room.accelerators;
+        if unit.priority == 0 || each == 0 {
+            return unit.tasks.len();
+        }
+        let awaited = if unit.step.gang { 0 } else { self.awaited };
+        usize::try_from((self.free - self.held - awaited) / each).unwrap_or(0)
+    }
+
+    /// Room was taken by, or set aside for, a number of tasks of a unit.
+    pub fn take(&mut self, unit: &Unit<'_>, tasks: usize) {
+        let taken = unit.room.accelerators * tasks as i64;
+        self.free -= taken;
+        if unit.priority == 0 {
+            self.held = (self.held - taken).max(0);
+        }
+    }
+
+    /// A gang found no place. Gangs that are late have no claim.
+    pub fn await_room(&mut self, unit: &Unit<'_>) {
+        if matches!(unit.rank, Rank::OnTime(_)) {
+            let wanted = unit.room.accelerators * unit.tasks.len() as i64;
+            let most = (self.capacity as f64 * GANG_SHARE) as i64;
+            self.awaited = (self.awaited + wanted).min(most);
+        }
+    }
+}
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -4,6 +4,7 @@
 //! opens no socket and reads no clock, so every load and fault can be replayed.
 
 pub mod engine;
+pub mod headroom;
 pub mod learn;
 pub mod order;
 pub mod place;
--- a/crates/plan/src/order/rank.rs
+++ b/crates/plan/src/order/rank.rs
@@ -1,6 +1,11 @@
 /// Objectives after which a result has no worth any more, as a multiple of the objective.
 const WORTHLESS_AFTER: f64 = 3.0;
 
+/// Core-seconds that may be thrown away for one urgent unit that no guarantee covers, and how many more for each
+/// core-second that it takes itself. At the platform's prices twice as much would cost what the unit earns.
+const WASTE_BASE: f64 = 300.0;
+const WASTE_SHARE: f64 = 0.7;
+
 /// Classes of work, best first.
 ///
 /// Within the objective, the queue's priority decides. Late work of priority 0 still earns more for its
@@ -38,8 +43,13 @@
         }
     }
 
-    /// Whether other work may be stopped for it.
-    pub fn may_displace(self) -> bool {
-        matches!(self, Rank::Guaranteed | Rank::Urgent)
+    /// How many core-seconds of other work may be thrown away for work of this class that is expected to take
+    /// `work` of them; none if it displaces nothing.
+    pub fn displaces(self, work: f64) -> Option<f64> {
+        match self {
+            Rank::Guaranteed => Some(f64::INFINITY),
+            Rank::Urgent => Some(WASTE_BASE + WASTE_SHARE * work),
+            _ => None,
+        }
     }
 }
--- a/crates/sim/examples/compare.rs
+++ b/crates/sim/examples/compare.rs
@@ -1,36 +1,56 @@
-//! Compares the scheduler with plain baselines under the same drawn loads: `compare [SEEDS] [SCALE]`.
+//! Compares the scheduler with plain baselines under the same drawn loads:
+//! `compare [SEEDS] [SCALE] [planning|grown] [all|own]`.
 
 use {
+    indexmap::IndexMap,
     plan::{engine, order::Policy},
     rand::{RngExt, SeedableRng, rngs::StdRng},
     sim::{Load, Report, Setup, Trouble, World},
-    work::id,
+    std::time::Duration,
+    work::{id, upstream::How},
 };
 
 /// Time after the last arrival that is still played, in milliseconds.
 const REST_MS: u64 = 25_000;
 
+/// The planning platform, or the grown ringing service, at the sizes that the users state.
+fn site(grown: bool) -> (Setup, Load) {
+    if !grown {
+        return (Setup::default(), Load::planning());
+    }
+    let setup = Setup {
+        upstreams: 350,
+        memory_mb: 131_072,
+        accounts: 10,
+        guaranteed: 173,
+        settings: engine::Settings {
+            stop: Duration::from_millis(200),
+            gang: Duration::from_millis(4000),
+            reclaim: Duration::from_millis(2700),
+            ..engine::Settings::default()
+        },
+        ..Setup::default()
+    };
+    (setup, Load::grown_ringing())
+}
+
 /// A day of high load: a burst of short gangs, and a sixth of the upstreams slow for 8 s, twice, and some failing.
-fn day(seed: u64, scale: f64, policy: Policy) -> Report {
+fn day(seed: u64, scale: f64, grown: bool, policy: Policy) -> Report {
     let mut rng = StdRng::seed_from_u64(seed);
+    let (setup, load) = site(grown);
     let load = Load {
         scale,
         burst: Some((0, 3000, 9000, 2.2)),
-        ..Load::planning()
+        ..load
     };
+    let mut host = || id::Upstream::from(format!("u{}", rng.random_range(0..setup.upstreams)));
+    let sixth = setup.upstreams / 6;
     let mut troubles = Vec::new();
     for at in [6000, 20_000] {
-        for _ in 0..8 {
-            let host = id::Upstream::from(format!("u{}", rng.random_range(0..48)));
-            troubles.push((at, Trouble::Slow(host, 5.5)));
-        }
+        troubles.extend((0..sixth).map(|_| (at, Trouble::Slow(host(), 5.5))));
     }
-    for _ in 0..4 {
-        let host = id::Upstream::from(format!("u{}", rng.random_range(0..48)));
-        troubles.push((
-            rng.random_range(10_000..30_000),
-            Trouble::Failing(host, 5000),
-        ));
+    for _ in 0..sixth / 2 {
+        troubles.push((13_000, Trouble::Failing(host(), 5000)));
     }
     let end = load.length_ms + REST_MS;
     let setup = Setup {
@@ -38,9 +58,9 @@
         troubles,
         settings: engine::Settings {
             policy,
-            ..engine::Settings::default()
+            ..setup.settings.clone()
         },
-        ..Setup::default()
+        ..setup
     };
     let mut world = World::new(setup, load);
     world.run_until(end);
@@ -48,33 +68,59 @@
 }
 
 fn main() {
-    let mut arguments = std::env::args().skip(1);
-    let seeds: u64 = arguments
-        .next()
-        .and_then(|text| text.parse().ok())
-        .unwrap_or(20);
-    let scale: f64 = arguments
-        .next()
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let argument = |number: usize| arguments.get(number).map(String::as_str);
+    let seeds: u64 = argument(0).and_then(|text| text.parse().ok()).unwrap_or(20);
+    let scale: f64 = argument(1)
         .and_then(|text| text.parse().ok())
         .unwrap_or(1.2);
+    let grown = argument(2) == Some("grown");
+    let policies: &[Policy] = match argument(3) {
+        Some("own") => &[Policy::Worth],
+        _ => &[Policy::Worth, Policy::Priority, Policy::Arrival],
+    };
     println!(
-        "policy     net served waste short-on-time long-on-time sweep-on-time short-wait-p99-ms"
+        "policy     net served waste short-worth long-worth sweep-worth short-on-time short-wait-p99-ms"
     );
-    for policy in [Policy::Worth, Policy::Priority, Policy::Arrival] {
-        let days: Vec<Report> = (0..seeds).map(|seed| day(seed, scale, policy)).collect();
+    for policy in policies {
+        let seeds: Vec<u64> = (0..seeds).collect();
+        let threads =
+            std::thread::available_parallelism().map_or(1, |count| count.get().div_ceil(2));
+        let days: Vec<Report> = std::thread::scope(|scope| {
+            let chunks = seeds.chunks(seeds.len().div_ceil(threads).max(1));
+            let running: Vec<_> = chunks
+                .map(|chunk| {
+                    scope.spawn(move || {
+                        let days = chunk.iter().map(|seed| day(*seed, scale, grown, *policy));
+                        days.collect::<Vec<_>>()
+                    })
+                })
+                .collect();
+            let done = running.into_iter().filter_map(|thread| thread.join().ok());
+            done.flatten().collect()
+        });
         let mean = |value: &dyn Fn(&Report) -> f64| {
             days.iter().map(value).sum::<f64>() / days.len().max(1) as f64
         };
         println!(
-            "{:<8} {:>6.3} {:>6.3} {:>5.3} {:>13.3} {:>12.3} {:>13.3} {:>17.0}",
+            "{:<8} {:>5.3} {:>6.3} {:>5.3} {:>11.3} {:>10.3} {:>11.3} {:>13.3} {:>17.0}",
             format!("{policy:?}"),
             mean(&Report::net),
             mean(&Report::served),
             mean(&|day| day.waste / (day.useful + day.waste).max(1.0)),
+            mean(&|day| day.worth("short")),
+            mean(&|day| day.worth("long")),
+            mean(&|day| day.worth("sweep")),
             mean(&|day| day.on_time("short")),
-            mean(&|day| day.on_time("long")),
-            mean(&|day| day.on_time("sweep")),
             mean(&|day| day.wait_ms("short", 0.99) as f64),
         );
+        let all: f64 = days.iter().map(|day| day.useful + day.waste).sum();
+        let mut wasted: IndexMap<(&str, How), f64> = IndexMap::new();
+        for ((queue, how), amount) in days.iter().flat_map(|day| &day.wasted) {
+            *wasted.entry((queue.as_str(), *how)).or_default() += amount / all;
+        }
+        for ((queue, how), share) in wasted {
+            println!("    wasted by {queue}, {how}: {share:.3}");
+        }
     }
 }
--- a/crates/sim/src/load.rs
+++ b/crates/sim/src/load.rs
@@ -34,6 +34,8 @@
     pub failing: f64,
     /// Worth within the objective and when late.
     pub worth: (f64, f64),
+    /// Objective: a multiple of the work, and a number of milliseconds more.
+    pub objective: (f64, u64),
 }
 
 /// A load: kinds of jobs, and times at which more of one of them come.
@@ -69,73 +71,88 @@
 impl Load {
     /// The planning platform's load: short gangs of priority 0, long gangs of priority 1, sweeps of priority 2.
     pub fn planning() -> Load {
-        let room = |cpu_milli, memory_mb| Need {
-            cpu_milli,
-            memory_mb,
-            accelerators: 0,
+        let short = Kind {
+            rate: 1.68,
+            width: 3.0,
+            work_ms: 2100.0,
+            room: room(3700, 9800),
+            same_rack: 0.8,
+            estimate_off: 0.2,
+            worth: (4.0, 0.8),
+            objective: (1.5, 300),
+            ..Kind::gang("short")
+        };
+        let long = Kind {
+            rate: 0.55,
+            width: 5.0,
+            work_ms: 7200.0,
+            room: room(13000, 26000),
+            same_rack: 0.6,
+            saves: 0.45,
+            estimate_off: 0.9,
+            worth: (3.0, 0.9),
+            objective: (3.0, 1200),
+            ..Kind::gang("long")
+        };
+        let sweep = Kind {
+            rate: 0.42,
+            width: 16.0,
+            work_ms: 8100.0,
+            room: room(2800, 5700),
+            estimate_off: 0.2,
+            ..Kind::sweep("sweep")
         };
-        let gang =
-            |queue, rate, width, work_ms, room, same_rack, saves, estimate_off, worth| Kind {
-                queue,
-                rate,
-                width,
-                work_ms,
-                room,
-                accelerators: &[1, 2, 4, 8, 8],
-                gang: true,
-                same_rack,
-                saves,
-                estimate_off,
-                failing: 0.04,
-                worth,
-            };
         Load {
-            kinds: vec![
-                gang(
-                    "short",
-                    1.68,
-                    3.0,
-                    2100.0,
-                    room(3700, 9800),
-                    0.8,
-                    0.0,
-                    0.2,
-                    (4.0, 0.8),
-                ),
-                gang(
-                    "long",
-                    0.55,
-                    5.0,
-                    7200.0,
-                    room(13000, 26000),
-                    0.6,
-                    0.45,
-                    0.9,
-                    (3.0, 0.9),
-                ),
-                Kind {
-                    queue: "sweep",
-                    rate: 0.42,
-                    width: 16.0,
-                    work_ms: 8100.0,
-                    room: room(2800, 5700),
-                    accelerators: &[1],
-                    gang: false,
-                    same_rack: 0.0,
-                    saves: 0.45,
-                    estimate_off: 0.2,
-                    failing: 0.04,
-                    worth: (1.0, 0.3),
-                },
-            ],
+            kinds: vec![short, long, sweep],
             scale: 1.0,
             burst: None,
             length_ms: 40_000,
         }
     }
 
-    /// Draws the arrivals of a seed.
-    pub fn draw(&self, seed: u64) -> Vec<Arrival> {
+    /// The grown ringing service's load, with the same kinds on 350 upstreams.
+    pub fn grown_ringing() -> Load {
+        let short = Kind {
+            rate: 12.1,
+            width: 4.7,
+            work_ms: 2100.0,
+            room: room(3700, 11000),
+            same_rack: 0.8,
+            estimate_off: 0.5,
+            worth: (4.0, 0.8),
+            objective: (1.5, 400),
+            ..Kind::gang("short")
+        };
+        let long = Kind {
+            rate: 2.09,
+            width: 10.0,
+            work_ms: 9400.0,
+            room: room(13000, 53000),
+            same_rack: 0.6,
+            saves: 0.45,
+            estimate_off: 0.5,
+            worth: (3.0, 0.9),
+            objective: (3.0, 1200),
+            ..Kind::gang("long")
+        };
+        let sweep = Kind {
+            rate: 4.2,
+            width: 30.0,
+            work_ms: 5200.0,
+            room: room(2800, 8200),
+            estimate_off: 0.5,
+            ..Kind::sweep("sweep")
+        };
+        Load {
+            kinds: vec![short, long, sweep],
+            scale: 1.0,
+            burst: None,
+            length_ms: 35_000,
+        }
+    }
+
+    /// Draws the arrivals of a seed, from a number of accounts.
+    pub fn draw(&self, seed: u64, accounts: usize) -> Vec<Arrival> {
         /// Step of the arrival process in milliseconds.
         const STEP_MS: u64 = 10;
         let mut rng = StdRng::seed_from_u64(seed);
@@ -150,7 +167,7 @@
                 };
                 let expected = kind.rate * self.scale * burst * STEP_MS as f64 / 1000.0;
                 if rng.random_bool(expected.min(1.0)) {
-                    arrivals.push(draw(kind, number, at_ms, &mut rng));
+                    arrivals.push(draw(kind, number, at_ms, accounts, &mut rng));
                 }
             }
         }
@@ -158,7 +175,48 @@
     }
 }
 
-fn draw(kind: &Kind, number: usize, at_ms: u64, rng: &mut StdRng) -> Arrival {
+impl Kind {
+    /// A kind of gangs; rate, width, work, room and worth are to be set.
+    fn gang(queue: &'static str) -> Kind {
+        Kind {
+            queue,
+            accelerators: &[1, 2, 4, 8, 8],
+            gang: true,
+            saves: 0.0,
+            ..Kind::sweep(queue)
+        }
+    }
+
+    /// A kind of independent tasks with one accelerator each; rate, width, work and room are to be set.
+    fn sweep(queue: &'static str) -> Kind {
+        Kind {
+            queue,
+            rate: 0.0,
+            width: 1.0,
+            work_ms: 1000.0,
+            room: Need::default(),
+            accelerators: &[1],
+            gang: false,
+            same_rack: 0.0,
+            saves: 0.45,
+            estimate_off: 0.2,
+            failing: 0.04,
+            worth: (1.0, 0.3),
+            objective: (3.0, 3000),
+        }
+    }
+}
+
+/// Room of a task without accelerators.
+fn room(cpu_milli: i64, memory_mb: i64) -> Need {
+    Need {
+        cpu_milli,
+        memory_mb,
+        accelerators: 0,
+    }
+}
+
+fn draw(kind: &Kind, number: usize, at_ms: u64, accounts: usize, rng: &mut StdRng) -> Arrival {
     /// Share of tasks that take many times as long, and how many.
     const TAIL: (f64, f64) = (0.03, 7.0);
     let exponential = |rng: &mut StdRng| -rng.random_range(1e-6_f64..1.0).ln();
@@ -194,7 +252,7 @@
         at_ms,
         job: id::Job(rng.random()),
         kind: number,
-        account: format!("account-{}", rng.random_range(0..4)),
+        account: format!("account-{}", rng.random_range(0..accounts)),
         form: Form {
             spec: "work".into(),
             steps: vec![step],
--- a/crates/sim/src/report.rs
+++ b/crates/sim/src/report.rs
@@ -1,4 +1,4 @@
-use std::fmt;
+use {indexmap::IndexMap, std::fmt, work::upstream::How};
 
 /// Outcome of the jobs of one kind.
 #[derive(Clone, Debug, Default)]
@@ -24,6 +24,8 @@
     pub tallies: Vec<Tally>,
     /// Core-seconds of work that was done in vain.
     pub waste: f64,
+    /// The same by queue and by how the runs ended.
+    pub wasted: IndexMap<(String, How), f64>,
     /// Core-seconds of work that counted.
     pub useful: f64,
 }
@@ -44,6 +46,12 @@
         self.served() - WASTE_PRICE * self.waste / (self.useful + self.waste).max(1.0)
     }
 
+    /// Worth earned over worth owed of a queue.
+    pub fn worth(&self, queue: &str) -> f64 {
+        let tally = self.tallies.iter().find(|tally| tally.queue == queue);
+        tally.map_or(1.0, |tally| tally.worth.0 / tally.worth.1.max(1e-9))
+    }
+
     /// Share of a queue's jobs that ended within their objective.
     pub fn on_time(&self, queue: &str) -> f64 {
         let tally = self.tallies.iter().find(|tally| tally.queue == queue);
--- a/crates/sim/src/upstream.rs
+++ b/crates/sim/src/upstream.rs
@@ -245,8 +245,12 @@
     }
 
     /// Begins a new life.
-    pub fn reborn(&mut self, now_ms: f64) -> Vec<Run> {
-        let lost = self.runs.drain(..).map(|(_, run)| run).collect();
+    pub fn reborn(&mut self, now_ms: f64) -> Vec<(id::Task, Run)> {
+        let lost = self
+            .runs
+            .drain(..)
+            .map(|((task, _), run)| (task, run))
+            .collect();
         *self = Upstream {
             born_ms: self.born_ms + 1,
             start_ms: now_ms,
--- a/crates/sim/src/world/network.rs
+++ b/crates/sim/src/world/network.rs
@@ -80,6 +80,7 @@
             return;
         }
         let late = late.is_some();
+        self.note_lapse(&id);
         let event = match order {
             Order::Start(start) => {
                 let answer = self.start(&id, &start, term, late);
--- a/crates/sim/src/world/runs.rs
+++ b/crates/sim/src/world/runs.rs
@@ -88,6 +88,22 @@
         }
     }
 
+    /// Called before an order that may extend the lease: if it has ended, the ends that were not taken note of before
+    /// do not bind any more, whatever follows.
+    pub(super) fn note_lapse(&mut self, id: &id::Upstream) {
+        let now_ms = self.now_ms;
+        let lapsed = self
+            .upstreams
+            .get(id)
+            .filter(|upstream| upstream.clock_ms(now_ms) > upstream.lease_ms);
+        let ends = lapsed
+            .map(|upstream| upstream.ends.clone())
+            .unwrap_or_default();
+        for end in ends.iter().filter(|end| end.how == How::Done) {
+            self.forget_unless_noted(&end.task);
+        }
+    }
+
     /// An end that was not taken note of before its upstream's lease ended does not bind any more.
     pub(super) fn forget_lapsed_end(&mut self, task: &id::Task) {
         let now_ms = self.now_ms;
@@ -221,7 +237,7 @@
             && self.setup.faults.lost + self.setup.faults.late + self.setup.faults.unanswered
                 == 0.0;
         self.oracle.ended(id, &end, !calm);
-        self.charge(&run, how, now_ms);
+        self.charge(&key.0, &run, how, now_ms);
         if self.waiting.contains_key(id) {
             self.answer_hold(id);
         }
@@ -240,7 +256,7 @@
         }
     }
 
-    pub(super) fn charge(&mut self, run: &Run, how: How, now_ms: f64) {
+    pub(super) fn charge(&mut self, task: &id::Task, run: &Run, how: How, now_ms: f64) {
         let spent = (run.done_at(now_ms) - run.resumed_ms).max(0.0) / 1000.0 * run.room.cores();
         let saved = (run.saved_at(now_ms, how == How::Stopped) - run.resumed_ms).max(0.0) / 1000.0;
         let kept = saved * run.room.cores();
@@ -249,7 +265,11 @@
             How::Failed => {}
             _ => {
                 self.report.useful += kept;
-                self.report.waste += (spent - kept).max(0.0);
+                let wasted = (spent - kept).max(0.0);
+                self.report.waste += wasted;
+                let queue = self.book.job(task.job).map(|job| job.queue.clone());
+                let key = (queue.unwrap_or_default(), how);
+                *self.report.wasted.entry(key).or_default() += wasted;
             }
         }
     }
--- a/crates/sim/src/world/setup.rs
+++ b/crates/sim/src/world/setup.rs
@@ -11,6 +11,10 @@
     pub upstreams: usize,
     /// Upstreams of a rack.
     pub rack: usize,
+    /// Memory of an upstream in megabytes.
+    pub memory_mb: i64,
+    /// Number of accounts.
+    pub accounts: usize,
     /// Accelerators guaranteed to each account.
     pub guaranteed: i64,
     /// Shares of orders that go wrong.
@@ -28,6 +32,8 @@
         Setup {
             upstreams: 48,
             rack: 8,
+            memory_mb: 65_536,
+            accounts: 4,
             guaranteed: 59,
             faults: Faults::default(),
             troubles: Vec::new(),
@@ -38,24 +44,24 @@
 }
 
 /// The configuration of a load.
-pub(super) fn config(load: &Load, guaranteed: i64) -> Config {
+pub(super) fn config(load: &Load, setup: &Setup) -> Config {
     let queues = load.kinds.iter().enumerate().map(|(number, kind)| Queue {
         name: kind.queue.to_owned(),
         host: "host".into(),
         prefix: format!("/{}/", kind.queue),
         service: "pool".into(),
         timeout_ms: 3000,
-        objective_ms: [300, 1200, 3000].get(number).copied().unwrap_or(3000),
-        stretch: if number == 0 { 1.5 } else { 3.0 },
+        objective_ms: kind.objective.1,
+        stretch: kind.objective.0,
         priority: number as u8,
         attempts: 4,
         public: false,
         advice: None,
     });
-    let accounts = (0..4).map(|number| Account {
+    let accounts = (0..setup.accounts).map(|number| Account {
         name: format!("account-{number}"),
         keys: vec![format!("key-{number}")],
-        guaranteed,
+        guaranteed: setup.guaranteed,
     });
     Config {
         version: 1,
--- a/crates/sim/src/world/troubles.rs
+++ b/crates/sim/src/world/troubles.rs
@@ -36,8 +36,8 @@
                 for end in ends.iter().filter(|end| end.how == How::Done) {
                     self.forget_unless_noted(&end.task);
                 }
-                for run in lost {
-                    self.charge(&run, How::Lapsed, now_ms);
+                for (task, run) in lost {
+                    self.charge(&task, &run, How::Lapsed, now_ms);
                 }
                 for key in gone {
                     if self.book.step(&key.0).is_some_and(|step| step.gang) {
--- a/crates/sim/src/world/world.rs
+++ b/crates/sim/src/world/world.rs
@@ -92,7 +92,7 @@
     }
 
     pub(super) fn open(&mut self) {
-        let config = Box::new(config(&self.load, self.setup.guaranteed));
+        let config = Box::new(config(&self.load, &self.setup));
         self.book.apply(Command::Configure { at_ms: 0, config });
         for number in 0..self.setup.upstreams {
             let id = id::Upstream::from(format!("u{number}"));
@@ -109,7 +109,7 @@
         self.at(0.0, Happening::Tick);
         self.at(0.0, Happening::Heartbeat);
         self.at(0.0, Happening::Watch);
-        for arrival in self.load.draw(self.setup.seed) {
+        for arrival in self.load.draw(self.setup.seed, self.setup.accounts) {
             self.at(arrival.at_ms as f64, Happening::Arrive(Box::new(arrival)));
         }
         for (at_ms, trouble) in self.setup.troubles.clone() {
@@ -125,7 +125,10 @@
             address: model.id.to_string(),
             data_centre: format!("dc{}", number * 3 / self.setup.upstreams),
             service: "pool".into(),
-            capacity: CAPACITY,
+            capacity: Need {
+                memory_mb: self.setup.memory_mb,
+                ..CAPACITY
+            },
             labels: vec!["a".into(), rack.clone()],
             rack,
             draining,
--- a/crates/sim/tests/promises.rs
+++ b/crates/sim/tests/promises.rs
@@ -24,7 +24,7 @@
 /// A day with troubles drawn from the seed, on half of the usual number of upstreams so that they are busy.
 fn drawn(seed: u64) -> World {
     let mut rng = StdRng::seed_from_u64(seed);
-    let jobs = load().draw(seed);
+    let jobs = load().draw(seed, Setup::default().accounts);
     let mut troubles = Vec::new();
     for _ in 0..rng.random_range(4..14) {
         let at = rng.random_range(500..LOAD_MS);
@@ -127,7 +127,7 @@
         ..Load::planning()
     };
     let mut arrival = load()
-        .draw(7)
+        .draw(7, Setup::default().accounts)
         .into_iter()
         .find(|arrival| arrival.kind == 2)
         .unwrap();
