Let a new leader meet its upstreams before it stops work

Change: nothing is stopped for other work until each upstream has answered, or half a second has passed. Work that fits is placed at once as before.

--- a/crates/plan/src/engine/engine.rs
+++ b/crates/plan/src/engine/engine.rs
@@ -29,6 +29,10 @@
 /// Time between two removals of ended jobs.
 const EXPIRE_PAUSE: Duration = Duration::from_secs(5);
 
+/// Longest time for which a new leader stops no work for other work, because upstreams that it has not met may have
+/// room. An upstream that can be reached answers its first hold within a round trip.
+const SETTLE: Duration = Duration::from_millis(500);
+
 /// Silence after which an upstream without runs is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(60);
 
@@ -73,6 +77,7 @@
     pub(super) now: Instant,
     /// Agreed time of day in milliseconds since the Unix epoch.
     pub(super) time_ms: u64,
+    began: Instant,
     numbers: u64,
     seen_changes: Option<u64>,
     dirty: bool,
@@ -105,6 +110,7 @@
             placements: Vec::new(),
             now,
             time_ms: 0,
+            began: now,
             numbers: 0,
             seen_changes: None,
             dirty: true,
@@ -169,6 +175,13 @@
         self.tracks.len()
     }
 
+    /// Whether each upstream has answered this leader, or has had the time to.
+    pub(super) fn is_settled(&self) -> bool {
+        let mut sessions = self.sessions.values();
+        self.now >= self.began + SETTLE
+            || sessions.all(|session| session.met || session.failures > 0)
+    }
+
     pub(super) fn number(&mut self) -> u64 {
         self.numbers += 1;
         self.numbers
--- a/crates/plan/src/engine/planning.rs
+++ b/crates/plan/src/engine/planning.rs
@@ -278,7 +278,7 @@
             round.take(unit, &places);
             return;
         }
-        if round.reclaims >= MAX_RECLAIMS {
+        if round.reclaims >= MAX_RECLAIMS || !self.is_settled() {
             return;
         }
         round.reclaims += 1;
