Refuse pre-votes just after a vote; elect after 500 to 900 ms

Change: a replica that has voted refuses pre-votes for half of the shortest election timeout, which covers a vote's round trip and sync. The test fails on the code before.

The control group's election timeout goes from 750-1300 to 500-900 ms: a short gang has 1.3 s to spare, and a frozen leader cost 0.9 s of it. The lease stays at 75 % of the shortest timeout.

--- a/crates/dispatch/src/control/replica.rs
+++ b/crates/dispatch/src/control/replica.rs
@@ -22,10 +22,10 @@
 const FIRST_INCARNATION: u64 = 1;
 
 /// Shortest time without contact before an election. Longer than a few lost packets between regions.
-const ELECTION_MIN: Duration = Duration::from_millis(750);
+const ELECTION_MIN: Duration = Duration::from_millis(500);
 
 /// Longest time without contact before an election.
-const ELECTION_MAX: Duration = Duration::from_millis(1300);
+const ELECTION_MAX: Duration = Duration::from_millis(900);
 
 /// Lease as a percentage of the shortest election timeout. The rest covers clocks of different rates and the time
 /// between two looks at the lease on a busy processor.
--- a/crates/quorum/src/node/election.rs
+++ b/crates/quorum/src/node/election.rs
@@ -90,11 +90,22 @@
     }
 
     pub(super) fn on_pre_vote(&mut self, from: Member, next_term: u64, index: u64, term: u64) {
-        let granted =
-            next_term > self.term && !self.in_contact() && self.is_up_to_date(index, term);
+        let granted = next_term > self.term
+            && !self.in_contact()
+            && !self.is_electing()
+            && self.is_up_to_date(index, term);
         self.send(from, Body::PreVoteReply { next_term, granted });
     }
 
+    /// Whether a candidate that this replica has voted for may have won without having been heard yet. A vote takes
+    /// a round trip and a sync, which half of the shortest election timeout covers.
+    fn is_electing(&self) -> bool {
+        let until = self
+            .voted
+            .map(|voted| voted + self.settings.election_min / 2);
+        until.is_some_and(|until| self.now < until)
+    }
+
     pub(super) fn on_pre_vote_grant(&mut self, from: Member, next_term: u64) {
         let next = self.term + 1;
         if let Role::PreCandidate(votes) = &mut self.role
@@ -114,6 +125,7 @@
         let granted = free && !self.is_leading() && self.is_up_to_date(last_index, last_term);
         if granted && self.vote.is_none() {
             self.vote = Some(from);
+            self.voted = Some(self.now);
             self.persist_hard();
             self.reset_deadline();
         }
--- a/crates/quorum/src/node/node.rs
+++ b/crates/quorum/src/node/node.rs
@@ -34,6 +34,8 @@
     pub(super) heard_round: u64,
     /// When the leader was last heard, or this replica started.
     pub(super) heard: Instant,
+    /// When this replica last voted for another one. The winner's first heartbeat follows.
+    pub(super) voted: Option<Instant>,
     /// When a replica that does not lead starts an election.
     pub(super) deadline: Instant,
     pub(super) partial: Option<Partial>,
@@ -81,6 +83,7 @@
             verified: 0,
             heard_round: 0,
             heard: now,
+            voted: None,
             deadline: now,
             partial: None,
             effects: Vec::new(),
--- a/crates/quorum/tests/single.rs
+++ b/crates/quorum/tests/single.rs
@@ -216,3 +216,39 @@
     assert_eq!(single.receive(2, u64::MAX, heartbeat), []);
     assert_eq!(single.node.term(), 0);
 }
+
+/// Guards against a second election while the winner of the first has not been heard yet: five replicas that had
+/// started together elected one, and 10 ms later a rival collected pre-votes from those that had just voted and took
+/// the leader down with its higher term.
+#[test]
+fn refuses_pre_votes_just_after_a_vote() {
+    let mut single = Single::new(&[]);
+    single.now += Duration::from_millis(1000);
+    let (last_index, last_term) = (9, 9);
+    let vote = Body::Vote {
+        last_index,
+        last_term,
+        transfer: false,
+    };
+    assert_eq!(
+        single.receive(2, 8, vote),
+        [Body::VoteReply { granted: true }]
+    );
+    let ask = Body::PreVote {
+        next_term: 9,
+        last_index,
+        last_term,
+    };
+    let answer = |granted| {
+        [Body::PreVoteReply {
+            next_term: 9,
+            granted,
+        }]
+    };
+    single.now += Duration::from_millis(10);
+    assert_eq!(single.receive(3, 8, ask.clone()), answer(false));
+    // If the winner is never heard, the next election is not held up beyond the time at which this replica would
+    // start one itself.
+    single.now += Duration::from_millis(890);
+    assert_eq!(single.receive(3, 8, ask), answer(true));
+}
