Refuse calls early while no leader answers

Change: once the leader has been silent for 1.5 s a call looks for it for 250 ms and is refused as not run, with a Retry-After that grows with the outage. Within that time calls wait as before, since most elections end then.

--- a/crates/gate/src/gate/gate.rs
+++ b/crates/gate/src/gate/gate.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Outcome, Targets},
+    super::{Outage, Outcome, Targets},
     crate::call::{Reply, Request, SERVICE},
     futures::{StreamExt, stream::FuturesUnordered},
     model::clock::Clock,
@@ -61,6 +61,13 @@
         answered.map(|at| self.shared.clock.now().saturating_duration_since(at))
     }
 
+    /// How long the leader has been silent, for decisions on what to tell callers.
+    pub fn outage(&self) -> Outage {
+        Outage {
+            silence: self.silence(),
+        }
+    }
+
     /// Calls the leader, and repeats the call for at most `patience` while none answers.
     ///
     /// An instance that is frozen or cut off looks like a slow one. While it does not answer, the others are asked
--- a/crates/gate/src/gate/mod.rs
+++ b/crates/gate/src/gate/mod.rs
@@ -1,7 +1,8 @@
 //! Finds the leader and repeats calls that are safe to repeat.
 
 mod gate;
+mod outage;
 mod outcome;
 mod targets;
 
-pub use {gate::Gate, outcome::Outcome, targets::Targets};
+pub use {gate::Gate, outage::Outage, outcome::Outcome, targets::Targets};
--- /dev/null
+++ b/crates/gate/tests/outage.rs
@@ -0,0 +1,36 @@
+//! What callers are told while there is no leader.
+
+use {gate::Outage, std::time::Duration};
+
+const USUAL: Duration = Duration::from_millis(1400);
+
+fn after(ms: u64) -> Outage {
+    Outage {
+        silence: Some(Duration::from_millis(ms)),
+    }
+}
+
+/// Guards against calls that are held for most of their deadline although no leader has answered for long: on a day
+/// on which all control instances were killed for 2.5 s, each call was held for 1.4 s and refused then.
+#[test]
+fn calls_during_an_outage_are_refused_early() {
+    assert_eq!(after(1500).patience(USUAL), Duration::from_millis(250));
+    assert_eq!(after(9000).patience(USUAL), Duration::from_millis(250));
+    let short = Duration::from_millis(100);
+    assert_eq!(after(9000).patience(short), short);
+}
+
+/// Guards against refusals in an election, which ends within the usual patience, and in an idle system.
+#[test]
+fn calls_wait_for_an_election() {
+    assert_eq!(after(1200).patience(USUAL), USUAL);
+    assert_eq!(Outage { silence: None }.patience(USUAL), USUAL);
+}
+
+/// Guards against callers that use up their retries in the first seconds of an outage.
+#[test]
+fn the_pause_grows_with_the_outage() {
+    let pauses = [0, 1500, 2500, 5000, 60_000].map(|ms| after(ms).pause().as_secs());
+    assert_eq!(pauses, [1, 1, 2, 3, 4]);
+    assert_eq!(Outage { silence: None }.pause().as_secs(), 1);
+}
