Count ends that a later life of an upstream lists for an earlier one's run

Before its first heartbeat a start meant for the earlier life arrived and was carried out. Either way the task ran again after its end had been noted.

Change: a hold lets an upstream forget ends only just after this life has listed them, and carries 0 otherwise; an end counts if this or an earlier life of the same upstream was given the run. Both tests fail on the code before.

Ruled out: telling lives apart at the start. Its answer holds only the clock, and the id that an order can name is the same for both lives.

--- a/crates/plan/src/engine/hold.rs
+++ b/crates/plan/src/engine/hold.rs
@@ -68,10 +68,11 @@
             return;
         };
         let call = self.number();
-        let (now, last_end) = (self.now, book.last_end(id));
+        let now = self.now;
         let Some(session) = self.sessions.get_mut(id) else {
             return;
         };
+        let last_end = session.release(book.last_end(id));
         session.holding = Some(Pending {
             call,
             sent: now,
--- a/crates/plan/src/engine/session.rs
+++ b/crates/plan/src/engine/session.rs
@@ -89,6 +89,21 @@
         Some(clock_ms + (elapsed + settings.lease).as_millis() as u64)
     }
 
+    /// Up to which end the next hold lets the upstream forget, given the last end that was taken note of; 0 if
+    /// there is nothing new to release.
+    ///
+    /// Numbers of ends begin again with each life. If the hold reaches a later life that has begun a run meanwhile,
+    /// a number of the earlier life would let it forget an end that nobody has seen. So a number goes out only just
+    /// after this life has listed it.
+    pub fn release(&self, noted: u64) -> u64 {
+        let is_new = noted > self.released_end;
+        if self.met && self.failures == 0 && is_new {
+            noted
+        } else {
+            0
+        }
+    }
+
     /// An answer arrived.
     pub fn answered(&mut self, now: Instant) {
         self.heard = now;
--- /dev/null
+++ b/crates/plan/tests/leader/mod.rs
@@ -0,0 +1,123 @@
+//! A leader with two upstreams: a sweep fills `a`, `b` is empty, and an urgent job waits.
+
+use {
+    plan::engine::{Effect, Event, Held, Running},
+    work::{
+        book::{Book, Command, Placement, Step},
+        config::{Config, Queue, Service},
+        id,
+        job::{self, Form, Need},
+        upstream::{End, Upstream},
+    },
+};
+
+pub const SWEEP: id::Job = id::Job(1);
+pub const URGENT: id::Job = id::Job(2);
+
+fn upstream(name: &str) -> Box<Upstream> {
+    Box::new(Upstream {
+        id: name.into(),
+        born_ms: 1,
+        address: name.into(),
+        data_centre: "dc".into(),
+        service: "pool".into(),
+        capacity: Need {
+            accelerators: 8,
+            ..Need::default()
+        },
+        labels: vec![],
+        rack: String::new(),
+        draining: false,
+        leaving_ms: None,
+    })
+}
+
+fn submit(book: &mut Book, job: id::Job, queue: &str) {
+    let step = job::Step {
+        count: 1,
+        need: Need {
+            accelerators: 8,
+            ..Need::default()
+        },
+        estimate_ms: 2000,
+        gang: true,
+        ..job::Step::default()
+    };
+    book.apply(Command::Submit {
+        at_ms: 0,
+        job,
+        account: None,
+        queue: queue.into(),
+        form: Box::new(Form {
+            steps: vec![step],
+            ..Form::default()
+        }),
+    });
+}
+
+/// A sweep fills upstream `a`, `b` is empty, and an urgent job waits.
+pub fn book() -> Book {
+    let queue = |name: &str, priority| Queue {
+        name: name.into(),
+        service: "pool".into(),
+        priority,
+        stretch: 2.0,
+        objective_ms: 5000,
+        attempts: 3,
+        ..Queue::default()
+    };
+    let config = Config {
+        version: 1,
+        queues: vec![queue("urgent", 0), queue("sweep", 2)],
+        services: vec![Service {
+            name: "pool".into(),
+            ..Service::default()
+        }],
+        ..Config::default()
+    };
+    let mut book = Book::default();
+    book.apply(Command::Configure {
+        at_ms: 0,
+        config: Box::new(config),
+    });
+    for name in ["a", "b"] {
+        book.apply(Command::Register {
+            upstream: upstream(name),
+        });
+    }
+    submit(&mut book, SWEEP, "sweep");
+    let task = id::Task {
+        job: SWEEP,
+        occurrence: 0,
+        step: 0,
+        index: 0,
+    };
+    book.apply(Command::Progress {
+        at_ms: 0,
+        steps: vec![Step::Assign(vec![Placement {
+            task,
+            upstream: "a".into(),
+            born_ms: 1,
+        }])],
+    });
+    submit(&mut book, URGENT, "urgent");
+    book
+}
+
+/// The answer of an upstream to its hold among the effects.
+pub fn answer(effects: &[Effect], name: &str, running: Vec<Running>, ended: Vec<End>) -> Event {
+    let call = effects.iter().find_map(|effect| match effect {
+        Effect::Hold { call, target, .. } if target.upstream == name.into() => Some(*call),
+        _ => None,
+    });
+    let held = Held {
+        born_ms: Some(1),
+        clock_ms: Some(1000),
+        running,
+        ended,
+    };
+    Event::Held {
+        call: call.expect("a hold"),
+        answer: Ok(held),
+    }
+}
--- /dev/null
+++ b/crates/plan/tests/release.rs
@@ -0,0 +1,75 @@
+//! Which ends an upstream is allowed to forget.
+
+mod leader;
+
+use {
+    leader::{SWEEP, answer, book},
+    plan::engine::{Effect, Engine, Event, Settings},
+    std::time::{Duration, Instant},
+    work::{
+        book::{Answer, Command},
+        id,
+        upstream::{End, How},
+    },
+};
+
+/// Number of the last end that the hold of upstream `a` lets it forget.
+fn released(effects: &[Effect]) -> Option<u64> {
+    effects.iter().find_map(|effect| match effect {
+        Effect::Hold { target, order, .. } if target.upstream == "a".into() => Some(order.last_end),
+        _ => None,
+    })
+}
+
+/// Guards against a number of one life that reaches the next one: an upstream had crashed and begun a run meant for
+/// its earlier life, and the next hold let it forget that the run was done, so the task was started again.
+#[test]
+fn an_end_is_released_once_just_after_it_was_listed() {
+    let mut book = book();
+    let start = Instant::now();
+    let mut engine = Engine::new(Settings::default(), start);
+    let mut ended = vec![End {
+        number: 3,
+        task: id::Task {
+            job: SWEEP,
+            occurrence: 0,
+            step: 0,
+            index: 0,
+        },
+        run: 1,
+        how: How::Done,
+        checkpoint: String::new(),
+    }];
+    let mut events = vec![Event::Tick];
+    let mut numbers = Vec::new();
+    // The urgent job runs on `a` after the end, so holds go on.
+    for ms in (0..2000).step_by(20) {
+        let now = start + Duration::from_millis(ms);
+        let effects = engine.step(events, &book, now, 1000 + ms);
+        events = vec![Event::Tick];
+        if let Some(number) = released(&effects) {
+            numbers.push(number);
+            events.push(answer(&effects, "a", vec![], std::mem::take(&mut ended)));
+        }
+        for effect in effects {
+            if let Effect::Propose { ticket, steps } = effect {
+                let at_ms = 1000 + ms;
+                let runs = match book.apply(Command::Progress { at_ms, steps }) {
+                    Answer::Runs(runs) => runs,
+                    other => unreachable!("{other:?}"),
+                };
+                events.push(Event::Committed { ticket, runs });
+            }
+        }
+    }
+    assert!(numbers.len() > 4, "{numbers:?}");
+    assert_eq!(
+        numbers[..2],
+        [0, 3],
+        "first to learn its ends, then to release them"
+    );
+    assert!(
+        numbers[2..].iter().all(|number| *number == 0),
+        "{numbers:?}"
+    );
+}
--- a/crates/work/src/book/apply.rs
+++ b/crates/work/src/book/apply.rs
@@ -347,9 +347,10 @@
                 continue;
             }
             known.last_end = end.number;
+            // A start meant for an earlier life may have been carried out by this one, under the same id.
             let here = self
                 .run(&end.task, end.run)
-                .is_some_and(|run| run.upstream == *id && run.born_ms == born_ms);
+                .is_some_and(|run| run.upstream == *id && run.born_ms <= born_ms);
             if here {
                 self.take_end(id, end);
             }
--- a/crates/work/tests/book.rs
+++ b/crates/work/tests/book.rs
@@ -47,6 +47,7 @@
             labels: vec![],
             rack: String::new(),
             draining: false,
+            leaving_ms: None,
         }),
     }
 }
@@ -236,6 +237,31 @@
     assert_eq!(assign(&mut book, vec![place(task(0, 0), "a")]), [None]);
 }
 
+/// Guards against work that is done twice: a start meant for a life that had just crashed was carried out by the next
+/// one under the same id, which listed it as done; the end was noted and not counted.
+#[test]
+fn an_end_counts_if_a_later_life_carried_the_run_out() {
+    let mut book = book(vec![step(1, false, &[])]);
+    assign(&mut book, vec![place(task(0, 0), "a")]);
+    book.apply(upstream("a", 2));
+    let ends = vec![End {
+        number: 1,
+        task: task(0, 0),
+        run: 1,
+        how: How::Done,
+        checkpoint: String::new(),
+    }];
+    let ended = Step::Ended {
+        upstream: "a".into(),
+        born_ms: 2,
+        ends,
+    };
+    progress(&mut book, vec![ended]);
+    assert!(book.task(&task(0, 0)).unwrap().done);
+    assert_eq!(state(&book), State::Completed);
+    assert_eq!(book.live_on(&"a".into()).count(), 0);
+}
+
 /// Guards against room that is charged for ever, or freed while a run may still be running.
 #[test]
 fn room_is_charged_until_the_run_is_over() {
