Give calls up early only where they can be refused

Change: during an outage a call is refused after 250 ms if nothing can have carried it out; otherwise it waits for the answer as before.

--- a/crates/gate/src/gate/gate.rs
+++ b/crates/gate/src/gate/gate.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Outage, Outcome, Targets},
+    super::{Outage, Outcome, Patience, Targets},
     crate::call::{Reply, Request, SERVICE},
     futures::{StreamExt, stream::FuturesUnordered},
     model::clock::Clock,
@@ -68,25 +68,31 @@
         }
     }
 
-    /// Calls the leader, and repeats the call for at most `patience` while none answers.
+    /// Calls the leader, and repeats the call while none answers and `patience` lasts.
     ///
     /// An instance that is frozen or cut off looks like a slow one. While it does not answer, the others are asked
     /// too, so that a new leader is found as soon as there is one.
-    pub async fn call(&self, request: &Request, patience: Duration) -> Outcome {
+    pub async fn call(&self, request: &Request, patience: impl Into<Patience>) -> Outcome {
         let bytes = match postcard::to_stdvec(request) {
             Ok(bytes) => bytes,
             Err(error) => return Outcome::NotRun(error.to_string()),
         };
-        let until = self.shared.clock.now() + patience;
+        let patience = patience.into();
+        let start = self.shared.clock.now();
         let mut attempts = FuturesUnordered::new();
         let mut silent: Vec<u64> = Vec::new();
         let mut reason = "no control instance is known".to_owned();
         let mut unknown = false;
         let mut redirects = 0;
         loop {
+            let is_uncertain = unknown || !silent.is_empty();
+            let until = match is_uncertain {
+                true => start + patience.uncertain,
+                false => start + patience.refusable,
+            };
             let left = until.saturating_duration_since(self.shared.clock.now());
             if left.is_zero() {
-                return match unknown || !silent.is_empty() {
+                return match is_uncertain {
                     true => Outcome::Unknown(reason),
                     false => Outcome::NotRun(reason),
                 };
--- a/crates/gate/src/gate/mod.rs
+++ b/crates/gate/src/gate/mod.rs
@@ -3,6 +3,7 @@
 mod gate;
 mod outage;
 mod outcome;
+mod patience;
 mod targets;
 
-pub use {gate::Gate, outage::Outage, outcome::Outcome, targets::Targets};
+pub use {gate::Gate, outage::Outage, outcome::Outcome, patience::Patience, targets::Targets};
--- a/crates/gate/src/gate/outage.rs
+++ b/crates/gate/src/gate/outage.rs
@@ -1,4 +1,4 @@
-use std::time::Duration;
+use {super::Patience, std::time::Duration};
 
 /// Silence of the leader after which calls are refused early. A leader that can be reached is asked for a sign of
 /// life after 0.9 s, and most elections end within 1.4 s, so a longer silence means that there is none.
@@ -18,12 +18,15 @@
 }
 
 impl Outage {
-    /// How long a call may look for the leader. During an outage it is refused early, while its caller still has
-    /// time to come back.
-    pub fn patience(self, usual: Duration) -> Duration {
+    /// How long a call may look for the leader. During an outage it is refused early if that is certain to be true,
+    /// while its caller still has time to come back.
+    pub fn patience(self, usual: Duration) -> Patience {
         match self.silence {
-            Some(silence) if silence >= OUTAGE => usual.min(BRIEF),
-            _ => usual,
+            Some(silence) if silence >= OUTAGE => Patience {
+                refusable: usual.min(BRIEF),
+                uncertain: usual,
+            },
+            _ => usual.into(),
         }
     }
 
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -3,4 +3,4 @@
 pub mod call;
 pub mod gate;
 
-pub use gate::{Gate, Outage, Outcome};
+pub use gate::{Gate, Outage, Outcome, Patience};
