--- a/crates/plan/tests/headroom.rs
+++ b/crates/plan/tests/headroom.rs
@@ -1,16 +1,16 @@
 //! Room that is kept free: for urgent work that comes soon, and for gangs that wait.
 
+mod unit;
+
 use {
     plan::{
         headroom::{Headroom, Supply},
-        order::{Rank, Unit},
+        order::Rank,
         reclaim,
     },
     std::time::{Duration, Instant},
-    work::{
-        id,
-        job::{Need, Step},
-    },
+    unit::unit,
+    work::job::{Need, Step},
 };
 
 fn room(accelerators: i64) -> Need {
@@ -29,29 +29,6 @@
     }
 }
 
-fn unit(step: &Step, priority: u8, rank: Rank) -> Unit<'_> {
-    Unit {
-        name: id::Task {
-            job: id::Job(1),
-            occurrence: 0,
-            step: 0,
-            index: 0,
-        },
-        step,
-        tasks: (0..step.count).collect(),
-        room: step.room(),
-        service: "pool",
-        account: None,
-        priority,
-        rank,
-        start_by_ms: 0.0,
-        since_ms: 0,
-        last_chance: false,
-        advised: false,
-        failed_on: vec![],
-    }
-}
-
 /// Guards against sweeps that fill the room of each urgent gang that ends and are stopped for the next one.
 #[test]
 fn room_left_by_urgent_work_stays_free_for_the_next() {
--- a/crates/plan/tests/leader/mod.rs
+++ b/crates/plan/tests/leader/mod.rs
@@ -11,8 +11,8 @@
     },
 };
 
-pub const SWEEP: id::Job = id::Job(1);
-pub const URGENT: id::Job = id::Job(2);
+const SWEEP: id::Job = id::Job(1);
+const URGENT: id::Job = id::Job(2);
 
 fn upstream(name: &str) -> Box<Upstream> {
     Box::new(Upstream {
@@ -86,16 +86,10 @@
         });
     }
     submit(&mut book, SWEEP, "sweep");
-    let task = id::Task {
-        job: SWEEP,
-        occurrence: 0,
-        step: 0,
-        index: 0,
-    };
     book.apply(Command::Progress {
         at_ms: 0,
         steps: vec![Step::Assign(vec![Placement {
-            task,
+            task: sweep_task(),
             upstream: "a".into(),
             born_ms: 1,
         }])],
@@ -121,3 +115,13 @@
         answer: Ok(held),
     }
 }
+
+/// The only task of the sweep.
+pub fn sweep_task() -> id::Task {
+    id::Task {
+        job: SWEEP,
+        occurrence: 0,
+        step: 0,
+        index: 0,
+    }
+}
--- a/crates/plan/tests/place.rs
+++ b/crates/plan/tests/place.rs
@@ -1,11 +1,14 @@
 //! Where units are placed, and what is stopped for them.
 
+mod unit;
+
 use {
     plan::{
         order::{Rank, Unit},
         place::{self, Host, Reach, Room},
         reclaim::{self, Victim},
     },
+    unit::unit,
     work::{
         id,
         job::{Need, Step},
@@ -56,26 +59,7 @@
 }
 
 fn gang(step: &Step) -> Unit<'_> {
-    Unit {
-        name: id::Task {
-            job: id::Job(1),
-            occurrence: 0,
-            step: 0,
-            index: 0,
-        },
-        step,
-        tasks: (0..step.count).collect(),
-        room: step.room(),
-        service: "pool",
-        account: None,
-        priority: 0,
-        rank: Rank::Urgent,
-        start_by_ms: 0.0,
-        since_ms: 0,
-        last_chance: false,
-        advised: false,
-        failed_on: vec![],
-    }
+    unit(step, 0, Rank::Urgent)
 }
 
 fn step(count: u16, accelerators: i64) -> Step {
--- a/crates/plan/tests/release.rs
+++ b/crates/plan/tests/release.rs
@@ -3,12 +3,11 @@
 mod leader;
 
 use {
-    leader::{SWEEP, answer, book},
+    leader::{answer, book, sweep_task},
     plan::engine::{Effect, Engine, Event, Settings},
     std::time::{Duration, Instant},
     work::{
         book::{Answer, Command},
-        id,
         upstream::{End, How},
     },
 };
@@ -30,12 +29,7 @@
     let mut engine = Engine::new(Settings::default(), start);
     let mut ended = vec![End {
         number: 3,
-        task: id::Task {
-            job: SWEEP,
-            occurrence: 0,
-            step: 0,
-            index: 0,
-        },
+        task: sweep_task(),
         run: 1,
         how: How::Done,
         checkpoint: String::new(),
--- a/crates/plan/tests/settle.rs
+++ b/crates/plan/tests/settle.rs
@@ -3,23 +3,15 @@
 mod leader;
 
 use {
-    leader::{SWEEP, answer, book},
+    leader::{answer, book, sweep_task},
     plan::engine::{Effect, Engine, Event, Running, Settings},
     std::time::{Duration, Instant},
-    work::{
-        book::{Placement, Step},
-        id,
-    },
+    work::book::{Placement, Step},
 };
 
 fn sweep_run() -> Running {
     Running {
-        task: id::Task {
-            job: SWEEP,
-            occurrence: 0,
-            step: 0,
-            index: 0,
-        },
+        task: sweep_task(),
         run: 1,
         checkpoint: String::new(),
         percent: 10,
