route, entry: keep the slot of a request that was given up while its upstream counts it

Cause: a request that was given up after it was sent kept its slot for 1 s after its deadline.

Ruled out: a longer fixed time (a stalled upstream would hold its slot for as long; stalls_end_at_the_deadline allows 2 s), and shares handed on too early (the fuzzer of shares passes, and the grant counts a report's requests in flight).

--- a/crates/entry/src/desk/ticket.rs
+++ b/crates/entry/src/desk/ticket.rs
@@ -117,6 +117,11 @@
         self.end(Outcome::Answered);
     }
 
+    /// The attempt was stopped, and the upstream does not run it any more.
+    pub(crate) fn stopped(&mut self) {
+        self.end(Outcome::Stopped);
+    }
+
     /// The upstream failed.
     pub(crate) fn failed(&mut self) {
         self.end(Outcome::Failed(self.progress));
@@ -134,6 +139,11 @@
 
 impl Drop for Guard {
     fn drop(&mut self) {
-        self.end(Outcome::Stopped);
+        // Without an answer or the end of the connection, nothing tells whether the upstream runs the request.
+        let outcome = match self.progress {
+            Progress::Sent => Outcome::Unresolved,
+            _ => Outcome::Stopped,
+        };
+        self.end(outcome);
     }
 }
--- a/crates/entry/src/filter/attempts.rs
+++ b/crates/entry/src/filter/attempts.rs
@@ -23,8 +23,8 @@
     tokio::time::timeout,
 };
 
-/// Time after its deadline for which an upstream is taken to run a request that was given up. Covers the way
-/// there and a late reaction to the deadline that is passed on.
+/// Time after its deadline for which the connection of a request that was given up is kept open for its answer. Covers
+/// the way there and a late reaction to the deadline that is passed on.
 const STOP_MARGIN: Duration = Duration::from_secs(1);
 
 /// How far an attempt came and whether it is still wanted.
@@ -52,9 +52,10 @@
 
 /// The attempts of one request.
 ///
-/// An attempt that is given up after it was sent keeps its slot until the upstream has answered or closed the
-/// connection, or may be taken to have stopped: closing the connection does not end the work there, and a
-/// slot that is used again at once makes the upstream run more requests than it has slots.
+/// An attempt that is given up after it was sent keeps its connection until the upstream has answered or closed it, or
+/// until [`STOP_MARGIN`] is over. Then the router keeps its slot as long as the upstream may run it: closing the
+/// connection does not end the work there, and a slot that is used again at once makes the upstream run more requests
+/// than it has slots.
 pub(super) struct Attempts {
     context: Arc<Context>,
     call: Arc<Call>,
@@ -133,10 +134,14 @@
 
 /// Reads the rest of an answer that nobody waits for.
 async fn discard(attempt: Attempt) {
-    if let Ok(answered) = attempt.await {
-        let (_lease, _guard) = (answered.lease, answered.guard);
-        let mut body = answered.response.into_body();
-        while let Some(Ok(_)) = body.frame().await {}
+    match attempt.await {
+        Ok(mut answered) => {
+            let _lease = answered.lease;
+            let mut body = answered.response.into_body();
+            while let Some(Ok(_)) = body.frame().await {}
+            answered.guard.stopped();
+        }
+        Err(mut failed) => failed.guard.stopped(),
     }
 }
 
--- a/crates/entry/src/filter/forward.rs
+++ b/crates/entry/src/filter/forward.rs
@@ -35,7 +35,7 @@
 
 /// An attempt that failed.
 pub(super) struct Failed {
-    guard: Guard,
+    pub(super) guard: Guard,
     fault: Option<Fault>,
     forbidden: bool,
 }
@@ -73,6 +73,7 @@
                 }
                 Err(mut failed) => {
                     if let Some(refused) = stop(call, &failed) {
+                        failed.guard.stopped();
                         return Err(refused);
                     }
                     failed.guard.failed();
--- a/crates/entry/tests/upstreams.rs
+++ b/crates/entry/tests/upstreams.rs
@@ -308,3 +308,27 @@
     assert!(answer.ends_with("body"), "{answer}");
     assert_eq!(stage.upstreams[0].executions("k1"), 1);
 }
+
+/// Guards against a slot that is used again while the upstream runs a request far beyond its deadline. A request that
+/// has waited for its slot leaves the upstream little of its time, and an upstream that ignores deadlines works on.
+#[tokio::test]
+async fn a_request_that_waited_keeps_its_slot_beyond_its_deadline() {
+    let stage = Stage::new(1, 1).await;
+    stage.upstreams[0].behave_once(Behaviour::Answer(Duration::from_millis(700)));
+    stage.upstreams[0].behave_once(Behaviour::Answer(Duration::from_millis(2500)));
+    let deadline = "x-deadline-ms: 1000\r\n";
+    let first = stage.request("PUT", deadline, "first");
+    let second = async {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        stage.request("PUT", deadline, "second").await
+    };
+    let (first, second) = tokio::join!(first, second);
+    assert_eq!(status(&first), 200, "{first}");
+    assert_eq!(status(&second), 504, "{second}");
+    // The upstream runs the second request until 3.2 s after the start.
+    let third = stage
+        .request("PUT", "x-deadline-ms: 4000\r\n", "third")
+        .await;
+    assert_eq!(status(&third), 200, "{third}");
+    assert_eq!(stage.upstreams[0].peak(), 1, "the slot was used twice");
+}
--- a/crates/route/src/member/members.rs
+++ b/crates/route/src/member/members.rs
@@ -168,6 +168,12 @@
         })
     }
 
+    /// The last announcement of a live upstream, with its age.
+    pub fn last_announcement(&self, name: &str, now: Instant) -> Option<(&Announcement, Duration)> {
+        let entry = self.live_entry(name, now)?;
+        Some((&entry.announcement, now.duration_since(entry.last_heard)))
+    }
+
     /// Tells whether the named upstream may get new requests.
     pub fn is_usable(&self, name: &str, now: Instant) -> bool {
         self.live_entry(name, now)
--- a/crates/route/src/router/completion.rs
+++ b/crates/route/src/router/completion.rs
@@ -61,6 +61,9 @@
         now: Instant,
         actions: &mut Vec<Action>,
     ) {
+        if outcome == Outcome::Unresolved {
+            return self.leave_unresolved(attempt, now, actions);
+        }
         let Some(ended) = self.attempts.remove(&attempt) else {
             return;
         };
@@ -73,7 +76,7 @@
                 Outcome::Answered => self.remove(request, actions),
                 Outcome::Failed(progress) => self.failed(&ended, progress, now, actions),
                 Outcome::Stopped if pending.attempts.is_empty() => self.remove(request, actions),
-                Outcome::Stopped => {}
+                Outcome::Stopped | Outcome::Unresolved => {}
             }
         }
         self.dispatch(now, actions);
--- a/crates/route/src/router/dispatch.rs
+++ b/crates/route/src/router/dispatch.rs
@@ -115,6 +115,7 @@
                 started,
                 charged,
                 cancelled: false,
+                unresolved_since: None,
             },
         );
     }
--- a/crates/route/src/router/event.rs
+++ b/crates/route/src/router/event.rs
@@ -66,4 +66,7 @@
     /// The attempt was stopped by [`super::Action::Cancel`] or because the client disconnected. It does not
     /// count as a failure of the upstream.
     Stopped,
+    /// The attempt was given up after it was sent, without an answer or the end of its connection: the upstream may
+    /// still run it. Its slot stays in use until the upstream shows that it does not.
+    Unresolved,
 }
--- a/crates/route/src/router/mod.rs
+++ b/crates/route/src/router/mod.rs
@@ -12,6 +12,7 @@
 mod router;
 mod settings;
 mod tick;
+mod unresolved;
 mod upstream;
 
 pub use {
--- a/crates/route/src/router/pending.rs
+++ b/crates/route/src/router/pending.rs
@@ -40,4 +40,6 @@
     /// Slot time charged at the start, in seconds.
     pub(super) charged: f64,
     pub(super) cancelled: bool,
+    /// When it was given up although the upstream may still run it; none while it runs.
+    pub(super) unresolved_since: Option<Instant>,
 }
--- a/crates/route/src/router/router.rs
+++ b/crates/route/src/router/router.rs
@@ -189,9 +189,10 @@
         actions
     }
 
-    /// When [`Event::Tick`] is due at the latest; none while no request is pending.
+    /// When [`Event::Tick`] is due at the latest; none while no request is pending and no attempt is in flight.
     pub fn next_tick(&self, now: Instant) -> Option<Instant> {
-        (!self.pending.is_empty()).then_some(now + TICK_INTERVAL)
+        let is_idle = self.pending.is_empty() && self.attempts.is_empty();
+        (!is_idle).then_some(now + TICK_INTERVAL)
     }
 
     /// Number of requests that wait for a slot.
--- a/crates/route/src/router/tick.rs
+++ b/crates/route/src/router/tick.rs
@@ -32,6 +32,7 @@
                 self.refuse(request, Reason::Deadline, None, actions);
             }
         }
+        self.release_unresolved(now);
         self.refuse_late(now, actions);
         self.hedge(now, actions);
         self.dispatch(now, actions);
