--- a/crates/plan/src/engine/planning.rs
+++ b/crates/plan/src/engine/planning.rs
@@ -1,7 +1,7 @@
 use {
     super::{Engine, engine::RunKey},
     crate::{
-        headroom::{Headroom, Supply},
+        headroom::{self, Headroom, Supply},
         order::{self, Rank, Unit},
         place::{self, Availability, Host, Locality},
         reclaim::{self, Victim},
@@ -58,14 +58,16 @@
 }
 
 impl Round<'_> {
-    /// Adds the resources of a run to the urgent usage if its queue is urgent.
-    fn count_urgent(&mut self, task: &id::Task, resources: Resources) {
+    /// Adds the resources of a run to the urgent usage of its service, or to the other work of its upstream.
+    fn count_usage(&mut self, task: &id::Task, upstream: &id::Upstream, resources: Resources) {
         let queue = self
             .registry
             .job(task.job)
             .and_then(|job| self.registry.queue(&job.queue));
         if let Some(queue) = queue.filter(|queue| queue.priority == 0) {
             *self.urgent_usage.entry(&queue.service).or_default() += resources;
+        } else if let Some(position) = self.positions.get(upstream) {
+            self.hosts[*position].other_work += resources.accelerators;
         }
     }
 
@@ -78,10 +80,11 @@
     /// Reserves resources for tasks of a unit.
     fn reserve(&mut self, unit: &Unit<'_>, places: &[usize]) {
         for place in places {
-            self.hosts[*place].reserve(unit);
-        }
-        if let Some(supply) = self.supply.get_mut(unit.service) {
-            supply.allocate(unit, places.len());
+            let host = &mut self.hosts[*place];
+            host.reserve(unit);
+            if let Some(supply) = self.supply.get_mut(unit.service) {
+                supply.allocate(unit, host.set_aside);
+            }
         }
     }
 }
@@ -181,6 +184,8 @@
                 slowness: self.estimator.slowness(&upstream.data_centre),
                 reliable: health.is_none_or(|health| health.is_reliable()),
                 task_counts: Vec::new(),
+                other_work: 0,
+                set_aside: false,
             });
         }
         let mut round = Round {
@@ -214,14 +219,17 @@
             let entry = self.headroom.entry((*service).to_owned());
             let headroom = entry.or_insert_with(|| Headroom::new(now));
             headroom.observe(used, now);
-            supply.reserve_for_urgent(headroom.accelerators());
+            if !supply.is_idle() {
+                supply.reserved =
+                    headroom::set_aside(&mut round.hosts, service, headroom.accelerators());
+            }
         }
     }
 
     /// Subtracts the resources of runs that are live, proposed or being stopped.
     fn subtract_usage(&self, round: &mut Round<'_>) {
         for (upstream, key, live) in round.registry.allocations() {
-            round.count_urgent(&key.0, live.resources);
+            round.count_usage(&key.0, upstream, live.resources);
             let Some(position) = round.positions.get(upstream) else {
                 continue;
             };
@@ -257,7 +265,7 @@
             {
                 continue;
             }
-            round.count_urgent(&placement.task, step.reserved());
+            round.count_usage(&placement.task, &placement.upstream, step.reserved());
             let host = &mut round.hosts[position];
             host.free -= step.reserved();
             host.free_soon -= step.reserved();
--- a/crates/plan/src/headroom/supply.rs
+++ b/crates/plan/src/headroom/supply.rs
@@ -11,38 +11,35 @@
     pub capacity: i64,
     /// Number that is free or being freed, and not reserved for waiting work.
     pub free: i64,
-    /// Number kept free for urgent work that has not arrived yet.
+    /// Number that is free on upstreams set aside for urgent work that has not arrived yet.
     pub reserved: i64,
     /// Number that single tasks leave to waiting gangs.
     pub gang_reserve: i64,
 }
 
 impl Supply {
-    /// Keeps accelerators free for urgent work, but none while more than half of the service is free: urgent work then
-    /// finds free accelerators anyway, and waiting work must start.
-    pub fn reserve_for_urgent(&mut self, accelerators: i64) {
-        let is_idle = self.free * 2 > self.capacity;
-        self.reserved = if is_idle { 0 } else { accelerators };
+    /// Whether more than half of the service is free. Nothing is kept free then: urgent work finds free accelerators
+    /// anyway, and waiting work must start.
+    pub fn is_idle(&self) -> bool {
+        self.free * 2 > self.capacity
     }
 
-    /// How many tasks of a unit may be started with the accelerators that are not reserved for other work. Priority 0,
-    /// tasks without accelerators and lasting tasks are not limited: lasting tasks serve users, so they do not wait for
-    /// work that has not arrived.
+    /// How many tasks of a unit may be started with the accelerators that are not reserved for other work.
     pub fn allowance(&self, unit: &Unit<'_>) -> usize {
         let each = unit.resources.accelerators;
-        if unit.priority == 0 || each == 0 || unit.step.lasting {
+        if !unit.leaves_headroom() {
             return unit.tasks.len();
         }
         let gang_reserve = if unit.step.gang { 0 } else { self.gang_reserve };
         usize::try_from((self.free - self.reserved - gang_reserve) / each).unwrap_or(0)
     }
 
-    /// Subtracts the accelerators that a number of tasks of a unit take or reserve.
-    pub fn allocate(&mut self, unit: &Unit<'_>, tasks: usize) {
-        let allocated = unit.resources.accelerators * tasks as i64;
-        self.free -= allocated;
-        if unit.priority == 0 {
-            self.reserved = (self.reserved - allocated).max(0);
+    /// Subtracts the accelerators that a task of a unit takes or reserves on an upstream, which may be set aside for
+    /// urgent work.
+    pub fn allocate(&mut self, unit: &Unit<'_>, set_aside: bool) {
+        self.free -= unit.resources.accelerators;
+        if set_aside {
+            self.reserved = (self.reserved - unit.resources.accelerators).max(0);
         }
     }
 
--- a/crates/plan/src/order/unit.rs
+++ b/crates/plan/src/order/unit.rs
@@ -47,6 +47,12 @@
         }
     }
 
+    /// Whether it must leave accelerators free for urgent work. Lasting tasks need not: they serve users, so they do not
+    /// wait for work that has not arrived.
+    pub fn leaves_headroom(&self) -> bool {
+        self.priority > 0 && self.resources.accelerators > 0 && !self.step.lasting
+    }
+
     /// Whether its speed depends on racks: its data is on one, or its members should share one.
     pub fn is_rack_sensitive(&self) -> bool {
         self.step.data_rack.is_some() || (self.step.gang && self.step.same_rack)
--- a/crates/plan/src/place/fit.rs
+++ b/crates/plan/src/place/fit.rs
@@ -16,7 +16,8 @@
 /// Finds an upstream for each task of a gang, as positions in `hosts`; none if the gang does not fit.
 ///
 /// Chooses the rack with the fewest slots left that still takes the whole gang, and the fullest upstreams on it. This
-/// best fit leaves whole racks and upstreams for wide gangs. Urgent work prefers the fastest data centre.
+/// best fit leaves whole racks and upstreams for wide gangs. Urgent work prefers the fastest data centre, and there the
+/// racks that are set aside for it.
 pub fn gang(
     unit: &Unit<'_>,
     hosts: &[Host<'_>],
@@ -40,12 +41,12 @@
             .iter()
             .map(|position| hosts[*position].slots(unit, availability))
             .sum();
-        let slowness = members
+        let (slowness, shared) = members
             .first()
-            .map_or(0, |position| slowness(unit, &hosts[*position]));
-        (slots >= unit.tasks.len()).then_some((slowness, slots, members))
+            .map_or((0, true), |position| urgent_order(unit, &hosts[*position]));
+        (slots >= unit.tasks.len()).then_some(((slowness, shared, slots), members))
     });
-    let (_, _, members) = fitting.min_by_key(|(slowness, slots, _)| (*slowness, *slots))?;
+    let (_, members) = fitting.min_by_key(|(order, _)| *order)?;
     best_fit(unit, hosts, members, availability)
 }
 
@@ -83,16 +84,17 @@
         .min_by_key(|position| preference(unit, &hosts[*position]))
 }
 
-/// Sort key of upstreams, best first: for urgent work the fastest data centres, because it has little slack; then the
-/// fullest upstream.
-fn preference(unit: &Unit<'_>, host: &Host<'_>) -> (u32, i64) {
-    (slowness(unit, host), host.free.accelerators)
+/// Sort key of upstreams, best first: the order for urgent work, then the fullest upstream.
+fn preference(unit: &Unit<'_>, host: &Host<'_>) -> ((u32, bool), i64) {
+    (urgent_order(unit, host), host.free.accelerators)
 }
 
-fn slowness(unit: &Unit<'_>, host: &Host<'_>) -> u32 {
+/// Sort key of upstreams for urgent work, best first: the fastest data centres, because it has little slack; then
+/// those that are set aside for it. The same for all upstreams for other work.
+fn urgent_order(unit: &Unit<'_>, host: &Host<'_>) -> (u32, bool) {
     match unit.priority {
-        0 => host.slowness,
-        _ => 0,
+        0 => (host.slowness, !host.set_aside),
+        _ => (0, false),
     }
 }
 
--- a/crates/plan/src/place/host.rs
+++ b/crates/plan/src/place/host.rs
@@ -19,6 +19,10 @@
     /// Steps whose tasks are limited per upstream, identified by their first task, with the number of tasks on this
     /// one.
     pub task_counts: Vec<(id::Task, u16)>,
+    /// Accelerators in use by work that is not urgent.
+    pub other_work: i64,
+    /// Whether it is set aside for urgent work.
+    pub set_aside: bool,
 }
 
 /// Which resources count as available.
@@ -42,6 +46,9 @@
 
     /// How many tasks of a unit fit, within the step's limit per upstream.
     pub fn slots(&self, unit: &Unit<'_>, availability: Availability) -> usize {
+        if self.set_aside && unit.leaves_headroom() {
+            return 0;
+        }
         let fitting = match availability {
             Availability::Now => self
                 .free
--- a/crates/sim/examples/compare.rs
+++ b/crates/sim/examples/compare.rs
@@ -1,5 +1,5 @@
 //! Compares the scheduler with plain baselines under the same drawn loads:
-//! `compare [SEEDS] [SCALE] [planning|grown] [all|own]`.
+//! `compare [SEEDS] [SCALE] [planning|grown|large] [all|own]`.
 
 use {
     indexmap::IndexMap,
@@ -13,31 +13,61 @@
 /// Time after the last arrival that is still played, in milliseconds.
 const REST_MS: u64 = 25_000;
 
-/// The planning platform, or the grown ringing service, at the sizes that the users state.
-fn site(grown: bool) -> (Setup, Load) {
-    if !grown {
-        return (Setup::default(), Load::planning());
+/// A deployment at the size that the users state.
+#[derive(Clone, Copy)]
+enum Site {
+    Planning,
+    GrownRinging,
+    LargePlanning,
+}
+
+impl Site {
+    fn setup(self) -> (Setup, Load) {
+        match self {
+            Site::Planning => (Setup::default(), Load::planning()),
+            Site::GrownRinging => {
+                let setup = Setup {
+                    upstreams: 350,
+                    memory_mb: 131_072,
+                    accounts: 10,
+                    guaranteed: 173,
+                    settings: engine::Settings {
+                        stop_timeout: Duration::from_millis(200),
+                        gang_timeout: Duration::from_millis(4000),
+                        reclaim_time: Duration::from_millis(2700),
+                        ..engine::Settings::default()
+                    },
+                    ..Setup::default()
+                };
+                (setup, Load::grown_ringing())
+            }
+            Site::LargePlanning => {
+                let setup = Setup {
+                    upstreams: 1100,
+                    rack: 20,
+                    memory_mb: 131_072,
+                    accounts: 24,
+                    guaranteed: 226,
+                    settings: engine::Settings {
+                        max_lease: Duration::from_millis(10_000),
+                        stop_timeout: Duration::from_millis(900),
+                        gang_timeout: Duration::from_millis(5000),
+                        reclaim_time: Duration::from_millis(3400),
+                        ..engine::Settings::default()
+                    },
+                    ..Setup::default()
+                };
+                (setup, Load::large_planning())
+            }
+        }
     }
-    let setup = Setup {
-        upstreams: 350,
-        memory_mb: 131_072,
-        accounts: 10,
-        guaranteed: 173,
-        settings: engine::Settings {
-            stop_timeout: Duration::from_millis(200),
-            gang_timeout: Duration::from_millis(4000),
-            reclaim_time: Duration::from_millis(2700),
-            ..engine::Settings::default()
-        },
-        ..Setup::default()
-    };
-    (setup, Load::grown_ringing())
 }
 
-/// A day of high load: a burst of short gangs, and a sixth of the upstreams slow for 8 s, twice, and some failing.
-fn day(seed: u64, scale: f64, grown: bool, strategy: Strategy) -> Report {
+/// A day of high load: a burst of short gangs, and a sixth of the upstreams slow for 8 s, twice, and some failing. On
+/// the large platform a seventh of the upstreams leaves at short notice instead of turning slow the second time.
+fn day(seed: u64, scale: f64, site: Site, strategy: Strategy) -> Report {
     let mut rng = StdRng::seed_from_u64(seed);
-    let (setup, load) = site(grown);
+    let (setup, load) = site.setup();
     let load = Load {
         scale,
         burst: Some((0, 3000, 9000, 2.2)),
@@ -46,8 +76,13 @@
     let mut host = || id::Upstream::from(format!("u{}", rng.random_range(0..setup.upstreams)));
     let sixth = setup.upstreams / 6;
     let mut troubles = Vec::new();
-    for at in [6000, 20_000] {
-        troubles.extend((0..sixth).map(|_| (at, Trouble::Slow(host(), 5.5))));
+    troubles.extend((0..sixth).map(|_| (6000, Trouble::Slow(host(), 5.5))));
+    match site {
+        Site::LargePlanning => {
+            let seventh = setup.upstreams / 7;
+            troubles.extend((0..seventh).map(|_| (14_000, Trouble::Leaving(host(), 1500))));
+        }
+        _ => troubles.extend((0..sixth).map(|_| (20_000, Trouble::Slow(host(), 5.5)))),
     }
     for _ in 0..sixth / 2 {
         troubles.push((13_000, Trouble::Failing(host(), 5000)));
@@ -74,7 +109,11 @@
     let scale: f64 = argument(1)
         .and_then(|text| text.parse().ok())
         .unwrap_or(1.2);
-    let grown = argument(2) == Some("grown");
+    let site = match argument(2) {
+        Some("grown") => Site::GrownRinging,
+        Some("large") => Site::LargePlanning,
+        _ => Site::Planning,
+    };
     let strategies: &[Strategy] = match argument(3) {
         Some("own") => &[Strategy::Worth],
         _ => &[Strategy::Worth, Strategy::Priority, Strategy::Arrival],
@@ -91,7 +130,7 @@
             let running: Vec<_> = chunks
                 .map(|chunk| {
                     scope.spawn(move || {
-                        let days = chunk.iter().map(|seed| day(*seed, scale, grown, *strategy));
+                        let days = chunk.iter().map(|seed| day(*seed, scale, site, *strategy));
                         days.collect::<Vec<_>>()
                     })
                 })
--- a/crates/sim/src/load.rs
+++ b/crates/sim/src/load.rs
@@ -151,6 +151,47 @@
         }
     }
 
+    /// The large planning platform's load, with the same kinds on 1,100 upstreams.
+    pub fn large_planning() -> Load {
+        let short = Kind {
+            rate: 17.2,
+            width: 7.6,
+            work_ms: 2100.0,
+            room: room(3700, 20_000),
+            same_rack: 0.8,
+            estimate_off: 0.9,
+            worth: (4.0, 0.8),
+            objective: (1.5, 300),
+            ..Kind::gang("short")
+        };
+        let long = Kind {
+            rate: 2.41,
+            width: 26.0,
+            work_ms: 9400.0,
+            room: room(13_000, 53_000),
+            same_rack: 0.6,
+            saves: 0.45,
+            estimate_off: 0.5,
+            worth: (3.0, 0.9),
+            objective: (3.0, 1200),
+            ..Kind::gang("long")
+        };
+        let sweep = Kind {
+            rate: 2.36,
+            width: 78.0,
+            work_ms: 8100.0,
+            room: room(2800, 8200),
+            estimate_off: 0.9,
+            ..Kind::sweep("sweep")
+        };
+        Load {
+            kinds: vec![short, long, sweep],
+            scale: 1.0,
+            burst: None,
+            length_ms: 34_000,
+        }
+    }
+
     /// Draws the arrivals of a seed, from a number of accounts.
     pub fn draw(&self, seed: u64, accounts: usize) -> Vec<Arrival> {
         /// Step of the arrival process in milliseconds.
