--- a/crates/plan/src/engine/hold.rs
+++ b/crates/plan/src/engine/hold.rs
@@ -2,7 +2,7 @@
     super::{
         Effect, Engine, Failure, Hold, Listing, Refusal,
         engine::RunKey,
-        session::PendingHold,
+        session::{PendingHold, Session},
         tracked_run::{Phase, StopOrder},
     },
     indexmap::IndexMap,
@@ -58,7 +58,7 @@
                             .is_some_and(|stop| stop.confirmed.is_some())
                 })
             });
-        let longest = self.settings.max_lease / HOLD_LEASE_DIVISOR;
+        let longest = Session::lease(&self.settings) / HOLD_LEASE_DIVISOR;
         Some(match has_pending_outcome {
             true => SHORT_WAIT,
             false => longest.min(self.settings.hold_wait),
--- a/crates/plan/src/engine/planning.rs
+++ b/crates/plan/src/engine/planning.rs
@@ -219,10 +219,8 @@
             let entry = self.headroom.entry((*service).to_owned());
             let headroom = entry.or_insert_with(|| Headroom::new(now));
             headroom.observe(used, now);
-            if !supply.is_idle() {
-                supply.reserved =
-                    headroom::set_aside(&mut round.hosts, service, headroom.accelerators());
-            }
+            let accelerators = headroom.accelerators();
+            headroom::set_aside(&mut round.hosts, service, supply, accelerators);
         }
     }
 
--- a/crates/plan/src/engine/session.rs
+++ b/crates/plan/src/engine/session.rs
@@ -17,6 +17,10 @@
 /// Percentage by which the clock of an upstream may run slow, as stated by the platform.
 const CLOCK_DRIFT_PERCENT: u32 = 2;
 
+/// Longest lease that is given, even to upstreams that accept a longer one. The tasks of an upstream that is lost start
+/// elsewhere only after its lease, so a long one makes them late; a replaced leader renews leases after about 3 s.
+const LEASE_LIMIT: Duration = Duration::from_secs(6);
+
 /// Allowance for network and processing time, added to a lease before its end is relied on.
 const LEASE_MARGIN: Duration = Duration::from_millis(250);
 
@@ -63,7 +67,7 @@
             contacted: false,
             pending_hold: None,
             next_hold: now,
-            lease_end: now + Session::longest_lease(settings),
+            lease_end: now + expired_after(settings.max_lease),
             failures: 0,
             released_end: 0,
             proposed_end: 0,
@@ -71,9 +75,9 @@
         }
     }
 
-    /// Maximum time until a lease given now has expired, by the leader's clock.
-    fn longest_lease(settings: &Settings) -> Duration {
-        settings.max_lease + settings.max_lease * CLOCK_DRIFT_PERCENT / 100 + LEASE_MARGIN
+    /// Duration of the leases that are given.
+    pub fn lease(settings: &Settings) -> Duration {
+        settings.max_lease.min(LEASE_LIMIT)
     }
 
     /// Records the clock of the upstream.
@@ -85,8 +89,9 @@
     pub fn grant_lease(&mut self, now: Instant, settings: &Settings) -> Option<u64> {
         let (clock_ms, at) = self.clock?;
         let elapsed = now.saturating_duration_since(at);
-        self.lease_end = self.lease_end.max(now + Session::longest_lease(settings));
-        Some(clock_ms + (elapsed + settings.max_lease).as_millis() as u64)
+        let lease = Session::lease(settings);
+        self.lease_end = self.lease_end.max(now + expired_after(lease));
+        Some(clock_ms + (elapsed + lease).as_millis() as u64)
     }
 
     /// The end that the next hold releases, given the last recorded one; 0 if there is nothing new to release.
@@ -126,3 +131,8 @@
             && quiet < settings.heartbeat_interval.mul_f64(MISSED_HEARTBEATS)
     }
 }
+
+/// Maximum time until a lease given now has expired, by the leader's clock.
+fn expired_after(lease: Duration) -> Duration {
+    lease + lease * CLOCK_DRIFT_PERCENT / 100 + LEASE_MARGIN
+}
--- a/crates/plan/tests/place.rs
+++ b/crates/plan/tests/place.rs
@@ -4,6 +4,7 @@
 
 use {
     plan::{
+        headroom::{self, Supply},
         order::{Rank, Unit},
         place::{self, Availability, Host, Locality},
         reclaim::{self, Victim},
@@ -54,6 +55,8 @@
         slowness: 0,
         reliable: true,
         task_counts: vec![],
+        other_work: 0,
+        set_aside: false,
     };
     upstreams.iter().map(host).collect()
 }
@@ -232,3 +235,95 @@
     let choice = reclaim::choose_victims(&gang(&step), &hosts, &allowed, &victims, Locality::Near);
     assert_eq!(choice, Some((vec![1], vec![1])));
 }
+
+/// Leaves the given accelerators of an upstream to other work.
+fn fill(host: &mut Host<'_>, accelerators: i64) {
+    host.free -= resources(accelerators);
+    host.free_soon -= resources(accelerators);
+    host.other_work += accelerators;
+}
+
+/// Guards against accelerators that are kept free one by one on many upstreams, where no urgent gang fits, while
+/// sweeps use some of each upstream.
+#[test]
+fn racks_with_the_least_other_work_are_set_aside() {
+    let upstreams = upstreams(12);
+    let mut hosts = hosts(&upstreams);
+    for (position, host) in hosts.iter_mut().enumerate() {
+        fill(host, [5, 1, 7][position / 4]);
+    }
+    let mut supply = Supply {
+        capacity: 96,
+        free: 44,
+        ..Supply::default()
+    };
+    headroom::set_aside(&mut hosts, "pool", &mut supply, 20);
+    assert_eq!(supply.reserved, 21);
+    let set_aside: Vec<usize> = (0..12).filter(|at| hosts[*at].set_aside).collect();
+    assert_eq!(set_aside, [4, 5, 6]);
+    headroom::set_aside(&mut hosts, "pool", &mut supply, 30);
+    assert_eq!(supply.reserved, 31);
+    let set_aside: Vec<usize> = (0..12).filter(|at| hosts[*at].set_aside).collect();
+    assert_eq!(set_aside, [0, 4, 5, 6, 7]);
+    headroom::set_aside(&mut hosts, "another", &mut supply, 100);
+    assert_eq!(supply.reserved, 0);
+    assert!(!hosts[8].set_aside);
+}
+
+/// Guards against a job that waits while half of its service is idle, because urgent work has just ended there.
+#[test]
+fn nothing_is_set_aside_while_half_is_idle() {
+    let upstreams = upstreams(12);
+    let reserved = |free| {
+        let mut hosts = hosts(&upstreams);
+        let mut supply = Supply {
+            capacity: 96,
+            free,
+            reserved: 7,
+            ..Supply::default()
+        };
+        headroom::set_aside(&mut hosts, "pool", &mut supply, 48);
+        let count = hosts.iter().filter(|host| host.set_aside).count();
+        (supply.reserved, count)
+    };
+    assert_eq!(reserved(49), (0, 0));
+    assert_eq!(reserved(48), (48, 6));
+}
+
+/// Guards against other work that starts on upstreams set aside for urgent work, and against urgent gangs that use up
+/// the others first.
+#[test]
+fn only_urgent_work_uses_what_is_set_aside() {
+    let upstreams = upstreams(8);
+    let mut hosts = hosts(&upstreams);
+    for host in &mut hosts[..4] {
+        fill(host, 4);
+    }
+    for host in &mut hosts[4..] {
+        host.set_aside = true;
+    }
+    let allowed = all(&hosts);
+    let step = step(4, 4);
+    let place = |unit: &Unit<'_>| {
+        place::gang(unit, &hosts, &allowed, Availability::Now, Locality::Near).unwrap()
+    };
+    assert!(place(&gang(&step)).iter().all(|at| *at >= 4));
+    assert!(
+        place(&unit(&step, 1, Rank::OnTime(1)))
+            .iter()
+            .all(|at| *at < 4)
+    );
+    let lasting = Step {
+        lasting: true,
+        gang: false,
+        same_rack: false,
+        ..step.clone()
+    };
+    let near = Locality::Near;
+    let mut full = hosts.clone();
+    full[..4].iter_mut().for_each(|host| fill(host, 4));
+    let sweep = unit(&step, 2, Rank::OnTime(2));
+    assert_eq!(place::single(&sweep, &full, &allowed, near), None);
+    let lasting = unit(&lasting, 2, Rank::OnTime(2));
+    assert!(place::single(&lasting, &full, &allowed, near).is_some());
+}
