--- a/crates/plan/src/engine/planning.rs
+++ b/crates/plan/src/engine/planning.rs
@@ -67,7 +67,12 @@
         if let Some(queue) = queue.filter(|queue| queue.priority == 0) {
             *self.urgent_usage.entry(&queue.service).or_default() += resources;
         } else if let Some(position) = self.positions.get(upstream) {
-            self.hosts[*position].other_work += resources.accelerators;
+            let host = &mut self.hosts[*position];
+            host.other_work += resources.accelerators;
+            let step = self.registry.step(task);
+            if step.is_some_and(|step| !step.gang && !step.lasting) {
+                host.single_work += resources;
+            }
         }
     }
 
@@ -185,7 +190,9 @@
                 reliable: health.is_none_or(|health| health.is_reliable()),
                 task_counts: Vec::new(),
                 other_work: 0,
+                single_work: Resources::default(),
                 set_aside: false,
+                collecting: false,
             });
         }
         let mut round = Round {
@@ -289,6 +296,7 @@
         else {
             if let Some(supply) = round.supply.get_mut(unit.service) {
                 supply.reserve_for_gang(unit);
+                headroom::collect(unit, &mut round.hosts, allowed, locality, supply);
             }
             return;
         };
--- a/crates/plan/src/headroom/mod.rs
+++ b/crates/plan/src/headroom/mod.rs
@@ -1,7 +1,8 @@
 //! Accelerators that are kept free for urgent work and for waiting gangs.
 
+mod collection;
 mod headroom;
 mod reservation;
 mod supply;
 
-pub use {headroom::Headroom, reservation::set_aside, supply::Supply};
+pub use {collection::collect, headroom::Headroom, reservation::set_aside, supply::Supply};
--- a/crates/plan/src/headroom/supply.rs
+++ b/crates/plan/src/headroom/supply.rs
@@ -15,6 +15,8 @@
     pub reserved: i64,
     /// Number that single tasks leave to waiting gangs.
     pub gang_reserve: i64,
+    /// Whether room is collected for a waiting gang.
+    pub is_collecting: bool,
 }
 
 impl Supply {
--- a/crates/plan/src/order/unit.rs
+++ b/crates/plan/src/order/unit.rs
@@ -47,12 +47,19 @@
         }
     }
 
-    /// Whether it must leave accelerators free for urgent work. Lasting tasks need not: they serve users, so they do not
-    /// wait for work that has not arrived.
-    pub fn leaves_headroom(&self) -> bool {
+    /// Whether accelerators may be withheld from it for other work. Lasting tasks serve users, so they do not wait for
+    /// work that has not started.
+    pub fn may_be_withheld(&self) -> bool {
         self.priority > 0 && self.resources.accelerators > 0 && !self.step.lasting
     }
 
+    /// Whether it must leave accelerators free for urgent work. Gangs that save checkpoints need not while they can be
+    /// on time: they lose little when they are preempted.
+    pub fn leaves_headroom(&self) -> bool {
+        let saves = self.step.gang && self.step.checkpoints;
+        self.may_be_withheld() && !(saves && matches!(self.rank, Rank::OnTime(_)))
+    }
+
     /// Whether its speed depends on racks: its data is on one, or its members should share one.
     pub fn is_rack_sensitive(&self) -> bool {
         self.step.data_rack.is_some() || (self.step.gang && self.step.same_rack)
--- a/crates/plan/src/place/host.rs
+++ b/crates/plan/src/place/host.rs
@@ -21,8 +21,12 @@
     pub task_counts: Vec<(id::Task, u16)>,
     /// Accelerators in use by work that is not urgent.
     pub other_work: i64,
+    /// Resources in use by single tasks that are not urgent and end by themselves.
+    pub single_work: Resources,
     /// Whether it is set aside for urgent work.
     pub set_aside: bool,
+    /// Whether room is collected on it for a waiting gang.
+    pub collecting: bool,
 }
 
 /// Which resources count as available.
@@ -46,7 +50,8 @@
 
     /// How many tasks of a unit fit, within the step's limit per upstream.
     pub fn slots(&self, unit: &Unit<'_>, availability: Availability) -> usize {
-        if self.set_aside && unit.leaves_headroom() {
+        let is_withheld = self.collecting && unit.may_be_withheld();
+        if is_withheld || (self.set_aside && unit.leaves_headroom()) {
             return 0;
         }
         let fitting = match availability {
@@ -62,6 +67,13 @@
         }
     }
 
+    /// How many tasks of a unit fit once the single tasks here have ended.
+    pub fn slots_without_single_work(&self, unit: &Unit<'_>) -> usize {
+        let mut later = self.clone();
+        later.free_soon += self.single_work;
+        later.slots(unit, Availability::Soon)
+    }
+
     fn task_count(&self, unit: &Unit<'_>) -> u16 {
         let step = id::Task {
             index: 0,
--- a/crates/plan/tests/headroom.rs
+++ b/crates/plan/tests/headroom.rs
@@ -69,6 +69,7 @@
         free: 20,
         reserved: 20,
         gang_reserve: 0,
+        ..Supply::default()
     };
     let (gang, sweep) = (step(2, 8, true), step(30, 1, false));
     assert_eq!(supply.allowance(&unit(&gang, 0, Rank::Urgent)), 2);
@@ -95,6 +96,7 @@
         free: 20,
         reserved: 20,
         gang_reserve: 5,
+        ..Supply::default()
     };
     let lasting = Step {
         lasting: true,
@@ -111,6 +113,7 @@
         free: 12,
         reserved: 0,
         gang_reserve: 0,
+        ..Supply::default()
     };
     let (gang, sweep) = (step(4, 8, true), step(30, 1, false));
     let sweep = unit(&sweep, 2, Rank::OnTime(2));
--- a/crates/plan/tests/place.rs
+++ b/crates/plan/tests/place.rs
@@ -56,7 +56,9 @@
         reliable: true,
         task_counts: vec![],
         other_work: 0,
+        single_work: Resources::default(),
         set_aside: false,
+        collecting: false,
     };
     upstreams.iter().map(host).collect()
 }
@@ -327,3 +329,72 @@
     let lasting = unit(&lasting, 2, Rank::OnTime(2));
     assert!(place::single(&lasting, &full, &allowed, near).is_some());
 }
+
+/// Guards against headroom that stays idle while gangs wait which lose little when they are preempted.
+#[test]
+fn gangs_with_checkpoints_may_use_what_is_set_aside() {
+    let upstreams = upstreams(4);
+    let mut hosts = hosts(&upstreams);
+    hosts.iter_mut().for_each(|host| host.set_aside = true);
+    let allowed = all(&hosts);
+    let fits = |step: &Step, rank| {
+        let unit = unit(step, 1, rank);
+        place::gang(&unit, &hosts, &allowed, Availability::Now, Locality::Near).is_some()
+    };
+    let saving = Step {
+        checkpoints: true,
+        ..step(4, 8)
+    };
+    assert!(fits(&saving, Rank::OnTime(1)));
+    assert!(!fits(&saving, Rank::Late(1)));
+    assert!(!fits(&step(4, 8), Rank::OnTime(1)));
+}
+
+/// Guards against a gang that needs a whole rack and never starts, because single tasks take each accelerator there as
+/// it becomes free.
+#[test]
+fn room_is_collected_for_a_waiting_gang() {
+    let upstreams = upstreams(12);
+    let mut hosts = hosts(&upstreams);
+    for (position, host) in hosts.iter_mut().enumerate() {
+        let used = [6, 2, 4][position / 4];
+        fill(host, used);
+        // The first rack is in use by gangs, the others by single tasks.
+        if position >= 4 {
+            host.single_work += resources(used);
+        }
+    }
+    let allowed = all(&hosts);
+    let mut supply = Supply::default();
+    let (wide, other, sweep) = (step(4, 8), step(4, 4), step(1, 1));
+    let near = Locality::Near;
+    let mut collect = |hosts: &mut [Host<'_>], unit: &Unit<'_>| {
+        headroom::collect(unit, hosts, &allowed, near, &mut supply);
+        let collecting = (0..12).filter(|at| hosts[*at].collecting);
+        collecting.collect::<Vec<usize>>()
+    };
+    let none: [usize; 0] = [];
+    let late = unit(&wide, 1, Rank::Late(1));
+    assert_eq!(collect(&mut hosts, &late), none, "late gangs wait");
+    // No whole upstream is free, so the order of the racks decides; one with gangs never qualifies.
+    hosts[11].free_soon += resources(4);
+    hosts[11].single_work -= resources(4);
+    let wide = unit(&wide, 1, Rank::OnTime(1));
+    assert_eq!(collect(&mut hosts, &wide), [8, 9, 10, 11]);
+    let other = unit(&other, 1, Rank::OnTime(1));
+    assert_eq!(collect(&mut hosts, &other), [8, 9, 10, 11], "one at a time");
+    let sweep = Step {
+        gang: false,
+        ..sweep
+    };
+    let sweep = unit(&sweep, 2, Rank::OnTime(2));
+    let place = place::single(&sweep, &hosts, &allowed, near).unwrap();
+    assert!(place < 8, "a sweep takes collected room on {place}");
+    for host in &mut hosts[8..] {
+        host.collecting = false;
+        host.free = CAPACITY;
+        host.free_soon = CAPACITY;
+    }
+    let places = place::gang(&wide, &hosts, &allowed, Availability::Now, near);
+    assert_eq!(places.unwrap(), [8, 9, 10, 11]);
+}
