--- a/crates/plan/tests/release.rs
+++ b/crates/plan/tests/release.rs
@@ -43,7 +43,13 @@
         events = vec![Event::Tick];
         if let Some(number) = released(&effects) {
             numbers.push(number);
-            events.push(answer(&effects, "a", vec![], std::mem::take(&mut ended)));
+            events.push(answer(
+                &effects,
+                "a",
+                vec![],
+                std::mem::take(&mut ended),
+                1000,
+            ));
         }
         for effect in effects {
             if let Effect::Propose { proposal, updates } = effect {
--- a/crates/plan/tests/settle.rs
+++ b/crates/plan/tests/settle.rs
@@ -34,9 +34,9 @@
     let mut engine = Engine::new(Settings::default(), start);
     let holds = engine.step([Event::Tick], &registry, start, 1000);
     let at = |ms| start + Duration::from_millis(ms);
-    let first = answer(&holds, "a", vec![sweep_run()], vec![]);
+    let first = answer(&holds, "a", vec![sweep_run()], vec![], 1000);
     assert_eq!(stops(&engine.step([first], &registry, at(30), 1030)), 0);
-    let second = answer(&holds, "b", vec![], vec![]);
+    let second = answer(&holds, "b", vec![], vec![], 1000);
     let effects = engine.step([second], &registry, at(60), 1060);
     assert_eq!(stops(&effects), 0);
     let is_for_b = |placement: &Placement| placement.upstream == "b".into();
@@ -57,7 +57,7 @@
     let mut engine = Engine::new(Settings::default(), start);
     let holds = engine.step([Event::Tick], &registry, start, 1000);
     let at = |ms| start + Duration::from_millis(ms);
-    let first = answer(&holds, "a", vec![sweep_run()], vec![]);
+    let first = answer(&holds, "a", vec![sweep_run()], vec![], 1000);
     let mut stopped = stops(&engine.step([first], &registry, at(30), 1030));
     for ms in (100..=700).step_by(50) {
         stopped += stops(&engine.step([Event::Tick], &registry, at(ms), 1000 + ms));
