--- a/crates/plan/src/engine/planning.rs
+++ b/crates/plan/src/engine/planning.rs
@@ -109,9 +109,8 @@
             registry,
             &self.estimator,
             self.time_ms,
-            self.settings.early_start,
+            &self.settings,
             &assigned,
-            self.settings.strategy,
         );
         self.report_load(&round, &units);
         for unit in &units {
--- a/crates/plan/src/order/unit.rs
+++ b/crates/plan/src/order/unit.rs
@@ -34,6 +34,8 @@
     pub last_chance: bool,
     /// Whether it needs a decision of the policy service on which upstreams may run it.
     pub needs_advice: bool,
+    /// Whether it is a gang that loses little and makes urgent work wait only briefly when it is preempted.
+    pub yields_quickly: bool,
     /// Upstreams on which a task of the step failed.
     pub failed_on: Vec<id::Upstream>,
 }
@@ -53,11 +55,10 @@
         self.priority > 0 && self.resources.accelerators > 0 && !self.step.lasting
     }
 
-    /// Whether it must leave accelerators free for urgent work. Gangs that save checkpoints need not while they can be
-    /// on time: they lose little when they are preempted.
+    /// Whether it must leave accelerators free for urgent work.
     pub fn leaves_headroom(&self) -> bool {
-        let saves = self.step.gang && self.step.checkpoints;
-        self.may_be_withheld() && !(saves && matches!(self.rank, Rank::OnTime(_)))
+        let may_share = self.yields_quickly && matches!(self.rank, Rank::OnTime(_));
+        self.may_be_withheld() && !may_share
     }
 
     /// Whether its speed depends on racks: its data is on one, or its members should share one.
--- a/crates/plan/src/order/units.rs
+++ b/crates/plan/src/order/units.rs
@@ -1,6 +1,6 @@
 use {
     super::{Rank, Strategy, Unit},
-    crate::learn::Estimator,
+    crate::{engine::Settings, learn::Estimator},
     indexmap::{IndexMap, IndexSet},
     std::time::Duration,
     work::{
@@ -10,16 +10,20 @@
     },
 };
 
+/// Longest time that upstreams take to stop a run for which gangs with checkpoints may use the accelerators kept free
+/// for urgent work. Urgent work has about a second of slack for the stop, the commit and its own start.
+const QUICK_STOP: Duration = Duration::from_millis(500);
+
 /// Lists the work that is ready, highest rank first. Leaves out the tasks in `assigned`, whose assignment is not
 /// committed yet.
 pub fn ready_units<'a>(
     registry: &'a Registry,
     estimator: &Estimator,
     time_ms: u64,
-    early_start: Duration,
+    settings: &Settings,
     assigned: &IndexSet<id::Task>,
-    strategy: Strategy,
 ) -> Vec<Unit<'a>> {
+    let stops_quickly = settings.stop_timeout <= QUICK_STOP;
     let guaranteed = guaranteed_accounts(registry);
     let mut units = Vec::new();
     for job in registry.open_jobs() {
@@ -31,7 +35,7 @@
                 .account
                 .as_deref()
                 .is_some_and(|account| guaranteed.contains(account));
-        for number in due_occurrences(job, time_ms, early_start) {
+        for number in due_occurrences(job, time_ms, settings.early_start) {
             let job_units = JobUnits {
                 registry,
                 estimator,
@@ -39,11 +43,12 @@
                 queue,
                 time_ms,
                 is_guaranteed,
+                stops_quickly,
             };
             job_units.add_occurrence(number, assigned, &mut units);
         }
     }
-    match strategy {
+    match settings.strategy {
         Strategy::Worth => {}
         Strategy::Arrival => {
             for unit in &mut units {
@@ -110,6 +115,7 @@
     queue: &'a Queue,
     time_ms: u64,
     is_guaranteed: bool,
+    stops_quickly: bool,
 }
 
 impl<'a> JobUnits<'a, '_> {
@@ -171,6 +177,7 @@
                 ready_since_ms: base_ms.max(job.accepted_ms),
                 last_chance: failures + 1 >= queue.attempts && failures > 0,
                 needs_advice: queue.advice.is_some(),
+                yields_quickly: step.gang && step.checkpoints && self.stops_quickly,
                 failed_on,
             });
         }
--- a/crates/plan/tests/order.rs
+++ b/crates/plan/tests/order.rs
@@ -3,8 +3,9 @@
 use {
     indexmap::IndexSet,
     plan::{
+        engine::Settings,
         learn::{Estimator, Health},
-        order::{self, Rank, Strategy, Unit},
+        order::{self, Rank, Unit},
     },
     std::time::{Duration, Instant},
     work::{
@@ -16,8 +17,6 @@
     },
 };
 
-const EARLY: Duration = Duration::from_millis(250);
-
 fn registry() -> Registry {
     let queue = |name: &str, priority| Queue {
         name: name.into(),
@@ -99,15 +98,12 @@
 }
 
 fn units(registry: &Registry, time_ms: u64) -> Vec<Unit<'_>> {
+    units_with(registry, time_ms, &Settings::default())
+}
+
+fn units_with<'a>(registry: &'a Registry, time_ms: u64, settings: &Settings) -> Vec<Unit<'a>> {
     let taken = IndexSet::new();
-    order::ready_units(
-        registry,
-        &Estimator::default(),
-        time_ms,
-        EARLY,
-        &taken,
-        Strategy::Worth,
-    )
+    order::ready_units(registry, &Estimator::default(), time_ms, settings, &taken)
 }
 
 fn ranks(registry: &Registry, time_ms: u64) -> Vec<(u64, Rank)> {
@@ -226,3 +222,30 @@
     health.record_success();
     assert!(health.is_reliable());
 }
+
+/// Guards against urgent work that is late because gangs which take 0.9 s to stop use what is kept free for it.
+#[test]
+fn only_gangs_that_save_and_stop_quickly_share_the_headroom() {
+    let mut registry = registry();
+    let (mut plain, mut saving, mut sweep) = (form(1), form(1), form(1));
+    plain.steps[0].gang = true;
+    saving.steps[0].gang = true;
+    saving.steps[0].checkpoints = true;
+    sweep.steps[0].checkpoints = true;
+    for (job, form) in [(1, plain), (2, saving), (3, sweep)] {
+        submit(&mut registry, job, "other", "normal", form, 0);
+    }
+    let sharing = |stop_ms| {
+        let settings = Settings {
+            stop_timeout: Duration::from_millis(stop_ms),
+            ..Settings::default()
+        };
+        let units = units_with(&registry, 0, &settings);
+        let sharing = units.iter().filter(|unit| !unit.leaves_headroom());
+        sharing
+            .map(|unit| unit.first_task.job.0)
+            .collect::<Vec<u64>>()
+    };
+    assert_eq!(sharing(400), [2]);
+    assert_eq!(sharing(900), []);
+}
--- a/crates/plan/tests/place.rs
+++ b/crates/plan/tests/place.rs
@@ -332,22 +332,22 @@
 
 /// Guards against headroom that stays idle while gangs wait which lose little when they are preempted.
 #[test]
-fn gangs_with_checkpoints_may_use_what_is_set_aside() {
+fn gangs_that_yield_quickly_may_use_what_is_set_aside() {
     let upstreams = upstreams(4);
     let mut hosts = hosts(&upstreams);
     hosts.iter_mut().for_each(|host| host.set_aside = true);
     let allowed = all(&hosts);
-    let fits = |step: &Step, rank| {
-        let unit = unit(step, 1, rank);
+    let step = step(4, 8);
+    let fits = |yields_quickly, rank| {
+        let unit = Unit {
+            yields_quickly,
+            ..unit(&step, 1, rank)
+        };
         place::gang(&unit, &hosts, &allowed, Availability::Now, Locality::Near).is_some()
     };
-    let saving = Step {
-        checkpoints: true,
-        ..step(4, 8)
-    };
-    assert!(fits(&saving, Rank::OnTime(1)));
-    assert!(!fits(&saving, Rank::Late(1)));
-    assert!(!fits(&step(4, 8), Rank::OnTime(1)));
+    assert!(fits(true, Rank::OnTime(1)));
+    assert!(!fits(true, Rank::Late(1)));
+    assert!(!fits(false, Rank::OnTime(1)));
 }
 
 /// Guards against a gang that needs a whole rack and never starts, because single tasks take each accelerator there as
--- a/crates/plan/tests/unit/mod.rs
+++ b/crates/plan/tests/unit/mod.rs
@@ -24,6 +24,7 @@
         ready_since_ms: 0,
         last_chance: false,
         needs_advice: false,
+        yields_quickly: false,
         failed_on: vec![],
     }
 }
