replica: a leader with a full disk hands leadership over

Cause: a leader whose disk is full refuses each command as not run and goes on leading, as its heartbeats need no disk. It now transfers leadership with the first command that it has no space for, once a second at most.

Ruled out: stepping down without a transfer (the others would wait for an election timeout), and at the write instead of the check of space (nothing is written once commands are refused).

--- a/crates/replica/src/driver.rs
+++ b/crates/replica/src/driver.rs
@@ -1,3 +1,5 @@
+mod full_disk;
+
 use {
     super::{Error, Setup, StateMachine, Transport, View, codec, input::Input},
     indexmap::IndexMap,
@@ -13,7 +15,6 @@
             atomic::{AtomicBool, Ordering},
             mpsc,
         },
-        thread,
         time::{Duration, Instant},
     },
     tokio::sync::oneshot,
@@ -27,9 +28,6 @@
 /// the command.
 const MAX_COMMAND_BYTES: usize = 2 * 1024 * 1024;
 
-/// Delay between attempts to write to a full disk.
-const DISK_FULL_RETRY_DELAY: Duration = Duration::from_millis(200);
-
 /// Applied entries since the last snapshot after which the next one is taken.
 const SNAPSHOT_ENTRIES: u64 = 4096;
 
@@ -58,6 +56,8 @@
     /// Longest wait for an input before the node is stepped.
     tick_interval: Duration,
     last_request_id: u64,
+    /// Time of the last transfer of leadership because of a full disk.
+    left_leadership_at: Option<Instant>,
     waiters: IndexMap<u64, Waiter>,
     /// Answers of the state machine by the index of the applied entry.
     answers: IndexMap<u64, Vec<u8>>,
@@ -113,6 +113,7 @@
             transport: setup.transport,
             tick_interval,
             last_request_id: 0,
+            left_leadership_at: None,
             waiters: IndexMap::new(),
             answers: IndexMap::new(),
             outbox: IndexMap::new(),
@@ -195,7 +196,7 @@
                 let bytes = self.batch_bytes + command.len() as u64;
                 if let Err(error) = self.store.check_space(bytes) {
                     drop(reply.send(Verdict::NotRun(error.to_string())));
-                    return Ok(());
+                    return self.leave_leadership(events);
                 }
                 self.batch_bytes = bytes;
                 let request_id = self.register(Waiter::Propose(reply));
@@ -212,17 +213,19 @@
                 let request_id = self.register(Waiter::Change);
                 events.push_back(Event::ChangeMembers { request_id, change });
             }
-            Input::TransferLeadership => {
-                let now = self.clock.now();
-                let effects = self.node.transfer_leadership(None, now);
-                self.perform(effects, events)?;
-            }
+            Input::TransferLeadership => self.transfer_leadership(events)?,
             Input::Bootstrap => self.bootstrap()?,
             Input::Stop => {}
         }
         Ok(())
     }
 
+    fn transfer_leadership(&mut self, events: &mut VecDeque<Event>) -> Result<(), Error> {
+        let now = self.clock.now();
+        let effects = self.node.transfer_leadership(None, now);
+        self.perform(effects, events)
+    }
+
     /// Forms the group with this replica as its only voter, unless it has state of a group or has heard of one.
     fn bootstrap(&mut self) -> Result<(), Error> {
         if self.node.last_index() > 0 || self.node.term() > 0 {
@@ -367,40 +370,6 @@
         }
     }
 
-    /// Retries a write until the disk has space. Meanwhile this replica behaves like one with a slow disk: it neither
-    /// answers nor leads, and the other replicas continue without it.
-    fn retry_while_full<T>(
-        &mut self,
-        mut write: impl FnMut(&mut disk::Store) -> Result<T, Error>,
-    ) -> Result<T, Error> {
-        let mut is_reported = false;
-        loop {
-            match write(&mut self.store) {
-                Err(Error::Disk(error @ disk::Error::Full { .. }))
-                    if !self.stop_requested.load(Ordering::Relaxed) =>
-                {
-                    if !is_reported {
-                        log::error!("event=disk_full group={} error=\"{error}\"", self.name);
-                        let mut view = self.view();
-                        view.leader = None;
-                        view.leading_since = None;
-                        view.lease_confirmed_at = None;
-                        view.stop_reason = Some(error.to_string());
-                        is_reported = true;
-                    }
-                    thread::sleep(DISK_FULL_RETRY_DELAY);
-                }
-                result => {
-                    if is_reported && result.is_ok() {
-                        log::info!("event=disk_has_space group={}", self.name);
-                        self.view().stop_reason = None;
-                    }
-                    return result;
-                }
-            }
-        }
-    }
-
     fn apply(&mut self, entry: Entry) {
         self.applied = (entry.index, entry.term);
         self.entries_since_snapshot += 1;
