replica: fill the disk only once the group is at rest in the test of the full disk

The test passed on the code before: a leader that still had to write its first commit index blocked on the full disk, and others elected a leader.

--- a/crates/replica/tests/full_disk.rs
+++ b/crates/replica/tests/full_disk.rs
@@ -6,6 +6,7 @@
     quorum::{Member, Members, Settings},
     replica::{Group, Setup, StateMachine, Transport},
     std::{
+        collections::BTreeSet,
         sync::{Arc, Mutex},
         thread,
         time::{Duration, Instant},
@@ -111,14 +112,22 @@
         local.groups.lock().unwrap().push(group);
     }
     let groups = local.groups.lock().unwrap().clone();
-    until("a leader", || leader(&groups).is_some());
+    let accepts = |at: usize| matches!(propose(&groups[at]), Verdict::Answer(_));
+    until("a leader that accepts", || {
+        leader(&groups).is_some_and(accepts)
+    });
+    // The leader writes nothing more until the next command.
+    until("the same state everywhere", || {
+        let applied = groups.iter().map(|group| group.view().applied_index);
+        applied.collect::<BTreeSet<u64>>().len() == 1
+    });
     let first = leader(&groups).unwrap();
     disks[first].set_capacity(Some(disks[first].used()));
     let verdict = propose(&groups[first]);
     assert!(matches!(verdict, Verdict::NotRun(_)), "{verdict:?}");
     until("another leader that accepts", || {
         let other = leader(&groups).filter(|other| *other != first);
-        other.is_some_and(|other| matches!(propose(&groups[other]), Verdict::Answer(_)))
+        other.is_some_and(accepts)
     });
     for group in &groups {
         group.stop();
