--- a/crates/cli/src/story/story.rs
+++ b/crates/cli/src/story/story.rs
@@ -1,10 +1,12 @@
 use {super::Line, indexmap::IndexSet};
 
 /// Events that change what the leader can do, whatever the job.
-const GENERAL: [&str; 6] = [
+const GENERAL: [&str; 8] = [
     "lead_began",
     "lead_ended",
     "leader_changed",
+    "leadership_left",
+    "disk_full",
     "members_change",
     "config_stored",
     "fenced",
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -14,6 +14,7 @@
 time=2026-05-04T12:18:25.300Z level=INFO source=plan event=run_start task=aaaaaaaaaaaaaaaa.0.0.1 run=1 upstream=i-8 try=1
 time=2026-05-04T12:18:26.000Z level=WARN source=plan event=upstream_lost upstream=i-7 error=\"no answer: nothing within 500 ms\"
 time=2026-05-04T12:18:26.100Z level=WARN source=plan event=upstream_lost upstream=i-8 error=\"no answer\"
+time=2026-05-04T12:18:26.200Z level=WARN source=replica event=leadership_left group=work reason=disk_full
 time=2026-05-04T12:18:27.000Z level=INFO source=plan event=run_void task=5c0e7a21d94b36f8.0.0.1 run=1 upstream=i-7 reason=lapsed
 ";
 
@@ -48,6 +49,7 @@
             "job_submitted",
             "run_start",
             "upstream_lost",
+            "leadership_left",
             "run_void"
         ]
     );
