plan: log which upstream replaced another one, and the state of a voided run

run_void said lapsed for a crash and for a cut alike. It now says whether the start was confirmed, how far the run was and what ran beside it, and upstream_replaced tells that an upstream has restarted or that another one registered at its address. No change of logic.

--- a/crates/plan/src/engine/engine.rs
+++ b/crates/plan/src/engine/engine.rs
@@ -15,6 +15,7 @@
     work::{
         id,
         registry::{Placement, Registry, Update, Void},
+        upstream::Upstream,
     },
 };
 
@@ -212,6 +213,9 @@
             if known.is_none_or(|session| session.born_ms != upstream.born_ms) {
                 let session = Session::new(upstream.born_ms, self.now, &self.settings);
                 self.sessions.insert(upstream.id.clone(), session);
+                if !first {
+                    self.log_replacement(registry, upstream);
+                }
                 self.health.shift_remove(&upstream.id);
                 self.reset_stops(&upstream.id);
             }
@@ -249,6 +253,29 @@
         }
     }
 
+    /// Logs that an upstream has taken the address of another one, or has restarted, with the runs that were there.
+    fn log_replacement(&self, registry: &Registry, upstream: &Upstream) {
+        for earlier in registry.upstreams() {
+            let restarted = earlier.id == upstream.id;
+            if earlier.address != upstream.address
+                || (earlier.born_ms >= upstream.born_ms && !restarted)
+            {
+                continue;
+            }
+            let runs = self.runs_on(&earlier.id).count();
+            if !restarted || runs > 0 {
+                log::info!(
+                    "event=upstream_replaced upstream={} by={} born_ms={} address={} draining={} runs={runs}",
+                    earlier.id,
+                    upstream.id,
+                    upstream.born_ms,
+                    upstream.address,
+                    earlier.draining
+                );
+            }
+        }
+    }
+
     fn log_ended_jobs(&mut self, registry: &Registry) {
         let open_jobs: IndexSet<id::Job> = registry.open_jobs().map(|job| job.id).collect();
         for job in self
@@ -320,10 +347,13 @@
         }
         let tracked = self.tracked_runs.get(&key);
         log::info!(
-            "event=run_void task={} run={} upstream={} reason={reason}",
+            "event=run_void task={} run={} upstream={} reason={reason} started={} percent={} beside={}",
             key.0,
             key.1,
-            tracked.map_or("", |tracked| tracked.upstream.as_str())
+            tracked.map_or("", |tracked| tracked.upstream.as_str()),
+            tracked.is_some_and(TrackedRun::is_known_to_have_started),
+            tracked.map_or(0, |tracked| tracked.percent),
+            tracked.map_or(0, |tracked| self.runs_on(&tracked.upstream).count() - 1)
         );
         self.updates.push(Update::Void {
             task: key.0,
@@ -333,6 +363,16 @@
         });
     }
 
+    /// Tracked runs on an upstream, of any incarnation.
+    pub(super) fn runs_on<'a>(
+        &'a self,
+        upstream: &'a id::Upstream,
+    ) -> impl Iterator<Item = (&'a RunKey, &'a TrackedRun)> {
+        self.tracked_runs
+            .iter()
+            .filter(move |(_, tracked)| tracked.upstream == *upstream)
+    }
+
     fn check_if_due(&mut self, registry: &Registry) {
         if self.now >= self.next_check {
             self.next_check = self.now + CHECK_INTERVAL;
--- a/crates/plan/src/engine/tracked_run.rs
+++ b/crates/plan/src/engine/tracked_run.rs
@@ -82,4 +82,10 @@
             resumed: false,
         }
     }
+
+    /// Whether the upstream has confirmed the start or has listed the run. The state of a run that an earlier leader
+    /// assigned is not known before it is listed.
+    pub fn is_known_to_have_started(&self) -> bool {
+        self.is_listed || matches!(self.phase, Phase::Started { .. })
+    }
 }
