plan: failing tests of runs that are lost with their upstream

The tests drive the engine with upstreams on a virtual clock that crash under the tasks of one job, come back under another or the same id, or are cut off.

--- /dev/null
+++ b/crates/plan/tests/loss/cluster.rs
@@ -0,0 +1,356 @@
+//! A leader and upstreams on a virtual clock. Tasks of the job [`DEADLY`] crash each upstream that starts them.
+
+use {
+    indexmap::IndexMap,
+    plan::engine::{Effect, Engine, Event, Failure, Listing, Refusal, Running, Settings, Target},
+    std::time::{Duration, Instant},
+    work::{
+        config::{Config, Queue, Service},
+        id,
+        job::{Definition, Resources, Step},
+        registry::{Answer, Command, Registry, Update},
+        upstream::{End, Outcome, Upstream},
+    },
+};
+
+/// The job whose tasks crash their upstreams.
+pub const DEADLY: id::Job = id::Job(0xdead);
+
+/// Time from the start of a deadly task to the crash.
+const CRASH_AFTER_MS: u64 = 10;
+
+/// Time for which a crashed upstream is away, unless a test sets another one.
+const RESTART_AFTER_MS: u64 = 3200;
+
+/// Interval between two steps of the engine.
+const STEP_MS: u64 = 20;
+
+/// Work of a task that does not crash its upstream.
+const WORK_MS: u64 = 2500;
+
+/// Wall-clock time at the start of the test, in milliseconds since the Unix epoch.
+const EPOCH_MS: u64 = 1_000_000;
+
+/// How a crashed upstream comes back.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Return {
+    /// Under another id at the same address.
+    NewId,
+    /// Under the same id.
+    SameId,
+}
+
+struct Node {
+    id: id::Upstream,
+    address: String,
+    born_ms: u64,
+    is_up: bool,
+    /// Whether it is cut off: it runs on and no call reaches it.
+    is_cut: bool,
+    crash_at_ms: Option<u64>,
+    back_at_ms: u64,
+    running: IndexMap<(id::Task, u32), u64>,
+    ended: Vec<End>,
+    last_end: u64,
+}
+
+pub struct Cluster {
+    pub registry: Registry,
+    pub now_ms: u64,
+    /// Number of crashes under each task, including those that another task caused.
+    pub crashes: IndexMap<id::Task, u32>,
+    /// Number of starts of each task since the third crash under it.
+    pub starts_after_third_crash: IndexMap<id::Task, u32>,
+    pub restart_after_ms: u64,
+    returns: Return,
+    engine: Engine,
+    origin: Instant,
+    nodes: Vec<Node>,
+    events: Vec<Event>,
+    lives: u64,
+}
+
+impl Cluster {
+    /// Upstreams of eight accelerators each, and a queue that allows three failed runs.
+    pub fn new(upstreams: usize, returns: Return) -> Cluster {
+        let origin = Instant::now();
+        let mut registry = Registry::default();
+        registry.apply(Command::Configure {
+            at_ms: EPOCH_MS,
+            config: Box::new(config()),
+        });
+        let mut cluster = Cluster {
+            registry,
+            now_ms: 0,
+            crashes: IndexMap::new(),
+            starts_after_third_crash: IndexMap::new(),
+            restart_after_ms: RESTART_AFTER_MS,
+            returns,
+            engine: Engine::new(Settings::default(), origin),
+            origin,
+            nodes: Vec::new(),
+            events: Vec::new(),
+            lives: 0,
+        };
+        for index in 0..upstreams {
+            cluster.nodes.push(Node {
+                id: format!("node-{index}").as_str().into(),
+                address: format!("10.0.0.{index}:80"),
+                born_ms: 1,
+                is_up: true,
+                is_cut: false,
+                crash_at_ms: None,
+                back_at_ms: 0,
+                running: IndexMap::new(),
+                ended: Vec::new(),
+                last_end: 0,
+            });
+            cluster.register(index);
+        }
+        cluster
+    }
+
+    /// Submits a job of one step.
+    pub fn submit(&mut self, job: id::Job, count: u16, accelerators: i64, gang: bool) {
+        let step = Step {
+            count,
+            gang,
+            need: Resources {
+                accelerators,
+                ..Resources::default()
+            },
+            estimate_ms: WORK_MS as u32,
+            ..Step::default()
+        };
+        let answer = self.registry.apply(Command::Submit {
+            at_ms: EPOCH_MS + self.now_ms,
+            job,
+            account: None,
+            queue: "queue".into(),
+            form: Box::new(Definition {
+                steps: vec![step],
+                ..Definition::default()
+            }),
+        });
+        assert_eq!(answer, Answer::Accepted);
+    }
+
+    /// Replaces the leader; the next one knows only the registry.
+    pub fn replace_leader(&mut self) {
+        self.events.clear();
+        self.engine = Engine::new(Settings::default(), self.now());
+    }
+
+    /// Cuts all upstreams off that run a task of the job, or connects them all again.
+    pub fn set_cut(&mut self, job: Option<id::Job>) {
+        for node in &mut self.nodes {
+            node.is_cut = node.running.keys().any(|(task, _)| Some(task.job) == job);
+        }
+    }
+
+    pub fn run_for(&mut self, ms: u64) {
+        let end_ms = self.now_ms + ms;
+        while self.now_ms < end_ms {
+            self.now_ms += STEP_MS;
+            self.advance_nodes();
+            let events = std::mem::take(&mut self.events);
+            let at_ms = EPOCH_MS + self.now_ms;
+            let effects = self.engine.step(events, &self.registry, self.now(), at_ms);
+            for effect in effects {
+                self.carry_out(effect);
+            }
+        }
+    }
+
+    fn now(&self) -> Instant {
+        self.origin + Duration::from_millis(self.now_ms)
+    }
+
+    fn register(&mut self, index: usize) {
+        let node = &self.nodes[index];
+        self.registry.apply(Command::Register {
+            upstream: Box::new(Upstream {
+                id: node.id.clone(),
+                born_ms: node.born_ms,
+                address: node.address.clone(),
+                data_centre: "dc".into(),
+                service: "pool".into(),
+                capacity: Resources {
+                    accelerators: 8,
+                    ..Resources::default()
+                },
+                labels: vec![],
+                rack: "rack".into(),
+                draining: false,
+                leaving_ms: None,
+            }),
+        });
+    }
+
+    fn advance_nodes(&mut self) {
+        let now_ms = self.now_ms;
+        for index in 0..self.nodes.len() {
+            let node = &mut self.nodes[index];
+            if node.crash_at_ms.take_if(|at| now_ms >= *at).is_some() {
+                node.is_up = false;
+                node.back_at_ms = now_ms + self.restart_after_ms;
+                for ((task, _), _) in node.running.drain(..) {
+                    *self.crashes.entry(task).or_default() += 1;
+                }
+            } else if !node.is_up && now_ms >= node.back_at_ms {
+                self.lives += 1;
+                if self.returns == Return::NewId {
+                    node.id = format!("life-{}", self.lives).as_str().into();
+                }
+                node.is_up = true;
+                node.born_ms = now_ms;
+                node.ended.clear();
+                node.last_end = 0;
+                self.register(index);
+            }
+            let node = &mut self.nodes[index];
+            let done = node.running.extract_if(.., |(task, _), begun_ms| {
+                task.job != DEADLY && now_ms >= *begun_ms + WORK_MS
+            });
+            for ((task, run), _) in done.collect::<Vec<_>>() {
+                node.end(task, run, Outcome::Done);
+            }
+            if node.is_up && !node.is_cut && now_ms.is_multiple_of(1000) {
+                self.events.push(Event::HeartbeatReceived {
+                    upstream: node.id.clone(),
+                    born_ms: node.born_ms,
+                    clock_ms: Some(now_ms),
+                });
+            }
+        }
+    }
+
+    /// The upstream at the target's address, or why a call to it fails.
+    fn reach(&mut self, target: &Target) -> Result<&mut Node, Failure> {
+        let at_address = |node: &&mut Node| node.address == target.address;
+        let node = self.nodes.iter_mut().find(at_address).unwrap();
+        match node {
+            node if node.is_cut => Err(Failure::NoAnswer("timeout".into())),
+            node if !node.is_up => Err(Failure::NotSent("refused".into())),
+            node if node.id != target.upstream => Err(Failure::Refused(Refusal::OtherLife)),
+            node => Ok(node),
+        }
+    }
+
+    fn carry_out(&mut self, effect: Effect) {
+        let now_ms = self.now_ms;
+        let event = match effect {
+            Effect::Propose { proposal, updates } => self.commit(proposal, updates),
+            Effect::Hold {
+                call,
+                target,
+                order,
+            } => {
+                let answer = self.reach(&target).map(|node| {
+                    node.ended.retain(|end| end.number > order.last_end);
+                    node.list(now_ms)
+                });
+                Event::HoldAnswered { call, answer }
+            }
+            Effect::Start {
+                call,
+                target,
+                order,
+            } => {
+                let key = (order.task, order.run);
+                let mut begins = false;
+                let answer = self.reach(&target).map(|node| {
+                    begins = node.running.insert(key, now_ms).is_none();
+                    if order.task.job == DEADLY {
+                        node.crash_at_ms = Some(now_ms + CRASH_AFTER_MS);
+                    }
+                    Some(now_ms)
+                });
+                if begins
+                    && self
+                        .crashes
+                        .get(&order.task)
+                        .is_some_and(|count| *count >= 3)
+                {
+                    *self.starts_after_third_crash.entry(order.task).or_default() += 1;
+                }
+                Event::StartAnswered { call, answer }
+            }
+            Effect::Stop {
+                call,
+                target,
+                order,
+            } => {
+                let answer = self.reach(&target).map(|node| {
+                    if node
+                        .running
+                        .shift_remove(&(order.task, order.run))
+                        .is_some()
+                    {
+                        node.end(order.task, order.run, Outcome::Stopped);
+                    }
+                    Some(now_ms)
+                });
+                Event::StopAnswered { call, answer }
+            }
+            Effect::Advise { .. } => return,
+        };
+        self.events.push(event);
+    }
+
+    fn commit(&mut self, proposal: u64, steps: Vec<Update>) -> Event {
+        let at_ms = EPOCH_MS + self.now_ms;
+        match self.registry.apply(Command::Progress { at_ms, steps }) {
+            Answer::Runs(runs) => Event::ProposalCommitted { proposal, runs },
+            other => unreachable!("{other:?}"),
+        }
+    }
+}
+
+impl Node {
+    fn end(&mut self, task: id::Task, run: u32, how: Outcome) {
+        self.last_end += 1;
+        self.ended.push(End {
+            number: self.last_end,
+            task,
+            run,
+            how,
+            checkpoint: String::new(),
+        });
+    }
+
+    fn list(&self, now_ms: u64) -> Listing {
+        let running = self.running.iter().map(|((task, run), begun_ms)| Running {
+            task: *task,
+            run: *run,
+            checkpoint: String::new(),
+            percent: ((now_ms - begun_ms) * 100 / WORK_MS) as u8,
+        });
+        Listing {
+            born_ms: Some(self.born_ms),
+            clock_ms: Some(now_ms),
+            running: running.collect(),
+            ended: self.ended.clone(),
+        }
+    }
+}
+
+fn config() -> Config {
+    Config {
+        version: 1,
+        queues: vec![Queue {
+            name: "queue".into(),
+            service: "pool".into(),
+            priority: 1,
+            stretch: 3.0,
+            objective_ms: 5000,
+            attempts: 3,
+            ..Queue::default()
+        }],
+        services: vec![Service {
+            name: "pool".into(),
+            ..Service::default()
+        }],
+        ..Config::default()
+    }
+}
--- /dev/null
+++ b/crates/plan/tests/loss/cut.rs
@@ -0,0 +1,39 @@
+//! Upstreams that are cut off for longer than the leases of their runs.
+
+use {
+    crate::cluster::{Cluster, Return},
+    work::{id, registry::State},
+};
+
+const JOB: id::Job = id::Job(1);
+
+/// Guards against an upstream that gets no work any more after its runs were voided: it had no run and no end, so it got
+/// no hold, and without an answered hold it counted as unreachable until the leader changed.
+#[test]
+fn an_upstream_gets_work_again_after_a_cut_that_outlasts_its_lease() {
+    let mut cluster = Cluster::new(1, Return::NewId);
+    cluster.submit(JOB, 1, 8, false);
+    cluster.run_for(500);
+    cluster.set_cut(Some(JOB));
+    cluster.run_for(9000);
+    cluster.set_cut(None);
+    cluster.run_for(6000);
+    let job = cluster.registry.job(JOB).expect("the job is known");
+    assert_eq!(job.state, State::Completed);
+}
+
+/// Guards against jobs that end as failed because their upstreams were cut off, which is not the fault of a task.
+#[test]
+fn a_task_whose_upstreams_are_cut_off_is_not_given_up() {
+    let mut cluster = Cluster::new(6, Return::NewId);
+    cluster.submit(JOB, 1, 8, false);
+    for _ in 0..6 {
+        cluster.run_for(1000);
+        cluster.set_cut(Some(JOB));
+        cluster.run_for(7000);
+        cluster.set_cut(None);
+    }
+    cluster.run_for(5000);
+    let job = cluster.registry.job(JOB).expect("the job is known");
+    assert_eq!(job.state, State::Completed);
+}
--- /dev/null
+++ b/crates/plan/tests/loss/main.rs
@@ -0,0 +1,5 @@
+//! Runs that are lost with their upstream, or with the connection to it.
+
+mod cluster;
+mod crash;
+mod cut;
