plan: ask an upstream again that sends heartbeats after its hold failed

Seen: after a cut that outlasted its lease an upstream got no work until the leader changed (found by the tests of runs lost with their upstream, both failed before). Cause: a hold goes only to upstreams with runs or ends, and only an answered hold makes an upstream usable again; once the runs of an unreachable upstream were voided, no further hold was sent. A heartbeat that arrives after the failure now asks for one, so upstreams that are gone cost nothing. Ruled out: strays and the silence limit; heartbeats arrived in the test and nothing ran on the upstream.

--- a/crates/plan/src/engine/hold.rs
+++ b/crates/plan/src/engine/hold.rs
@@ -41,7 +41,7 @@
     /// Time for which the upstream may delay its answer to the next hold until a run ends; none if no hold is needed.
     fn hold_wait(&self, registry: &Registry, id: &id::Upstream) -> Option<Duration> {
         let session = self.sessions.get(id)?;
-        if !session.contacted {
+        if session.needs_contact() {
             return Some(Duration::ZERO);
         }
         let has_runs = registry.allocations_on(id).next().is_some();
--- a/crates/plan/src/engine/session.rs
+++ b/crates/plan/src/engine/session.rs
@@ -49,6 +49,8 @@
     pub lease_end: Instant,
     /// Number of consecutive failed holds.
     pub failures: u32,
+    /// Time of the latest failed hold.
+    failed_at: Instant,
     /// Number of the last end that the upstream was allowed to forget; 0 for none.
     pub released_end: u64,
     /// Number of the last end in a pending or committed proposal; 0 for none.
@@ -69,6 +71,7 @@
             next_hold: now,
             lease_end: now + expired_after(settings.max_lease),
             failures: 0,
+            failed_at: now,
             released_end: 0,
             proposed_end: 0,
             strays: IndexSet::new(),
@@ -117,10 +120,17 @@
     /// Records a failed hold and delays the next one, longer with each failure.
     pub fn record_failure(&mut self, now: Instant) {
         self.failures += 1;
+        self.failed_at = now;
         let pause = RETRY_DELAY_MIN * (1 << self.failures.min(4)) / 2;
         self.next_hold = now + pause.min(RETRY_DELAY_MAX);
     }
 
+    /// Whether a hold has to find out if the upstream can be reached: it has never answered, or it has sent a heartbeat
+    /// since the latest failed hold.
+    pub fn needs_contact(&self) -> bool {
+        !self.contacted || (self.failures > 0 && self.last_heard > self.failed_at)
+    }
+
     /// Whether the upstream can take new work.
     pub fn is_usable(&self, now: Instant, settings: &Settings) -> bool {
         let quiet = now.saturating_duration_since(self.last_heard);
