route: give a request up after three upstreams have failed with it

Same cause as the task that crashes its upstreams, found by looking for retries without a budget of their own: an idempotent request whose upstream breaks the connection was sent to the next one, and only the deadline and the retry budget of all requests (a burst of 10) ended that. The caller now gets 502 with ran unknown after the third. Attempts that reached no upstream do not count. Jobs of the product's own API (gang) were checked by reading: each start counts towards their attempts, whatever ends it.

--- a/crates/route/src/retry/rule.rs
+++ b/crates/route/src/retry/rule.rs
@@ -3,6 +3,9 @@
     std::time::{Duration, Instant},
 };
 
+/// Upstreams that may fail with a request on them before it is given up, because the request may be what crashes them.
+const MAX_LOST_ATTEMPTS: u32 = 3;
+
 /// Progress of an attempt at the time it failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Progress {
@@ -14,14 +17,21 @@
     Answering,
 }
 
-/// Decides whether a failed request may be sent to another upstream.
-pub fn may_resend(progress: Progress, idempotent: bool, deadline: Instant, now: Instant) -> bool {
+/// Decides whether a failed request may be sent to another upstream. `lost` is the number of its attempts that failed
+/// after they had been sent.
+pub fn may_resend(
+    progress: Progress,
+    idempotent: bool,
+    lost: u32,
+    deadline: Instant,
+    now: Instant,
+) -> bool {
     let safe = match progress {
         Progress::Unsent => true,
         Progress::Sent => idempotent || injected(Fault::RetryAfterSend),
         Progress::Answering => false,
     };
-    safe && now < deadline
+    safe && lost < MAX_LOST_ATTEMPTS && now < deadline
 }
 
 /// Decides whether a request that has run for `elapsed` may be hedged, that is, sent to a second upstream
--- a/crates/route/src/router/completion.rs
+++ b/crates/route/src/router/completion.rs
@@ -137,6 +137,7 @@
             return;
         };
         pending.sent |= progress >= Progress::Sent;
+        pending.lost += u32::from(progress >= Progress::Sent);
         if progress == Progress::Answering {
             // The code that relays the answer aborts the connection to the client.
             return self.remove(request, actions);
@@ -153,6 +154,7 @@
         let resend = may_resend(
             furthest,
             head.idempotent && head.replayable,
+            pending.lost,
             head.deadline,
             now,
         );
--- a/crates/route/src/router/pending.rs
+++ b/crates/route/src/router/pending.rs
@@ -19,6 +19,8 @@
     pub(super) offered: Instant,
     /// Upstreams at which an attempt failed.
     pub(super) tried: Vec<String>,
+    /// Number of attempts that failed after they had been sent.
+    pub(super) lost: u32,
     /// Attempts that are running.
     pub(super) attempts: Vec<u64>,
     /// Whether bytes of any attempt were sent.
--- a/crates/route/src/router/router.rs
+++ b/crates/route/src/router/router.rs
@@ -128,6 +128,7 @@
                 phase: Phase::Claiming,
                 offered: now,
                 tried: Vec::new(),
+                lost: 0,
                 attempts: Vec::new(),
                 sent: false,
                 answering: None,
