--- a/crates/sim/src/load.rs
+++ b/crates/sim/src/load.rs
@@ -49,6 +49,8 @@
     pub burst: Option<(usize, u64, u64, f64)>,
     /// Length in milliseconds.
     pub length_ms: u64,
+    /// Share of jobs whose first task crashes each upstream that starts it.
+    pub deadly: f64,
 }
 
 /// A job that arrives.
@@ -107,6 +109,7 @@
             scale: 1.0,
             burst: None,
             length_ms: 40_000,
+            deadly: 0.0,
         }
     }
 
@@ -148,6 +151,7 @@
             scale: 1.0,
             burst: None,
             length_ms: 35_000,
+            deadly: 0.0,
         }
     }
 
@@ -189,6 +193,7 @@
             scale: 1.0,
             burst: None,
             length_ms: 34_000,
+            deadly: 0.0,
         }
     }
 
@@ -208,7 +213,10 @@
                 };
                 let expected = kind.rate * self.scale * burst * STEP_MS as f64 / 1000.0;
                 if rng.random_bool(expected.min(1.0)) {
-                    arrivals.push(draw(kind, number, at_ms, accounts, &mut rng));
+                    let mut arrival = draw(kind, number, at_ms, accounts, &mut rng);
+                    // Without such jobs nothing is drawn here, so that the days of fixed seeds stay the same.
+                    arrival.truth.deadly = self.deadly > 0.0 && rng.random_bool(self.deadly);
+                    arrivals.push(arrival);
                 }
             }
         }
@@ -303,6 +311,7 @@
             work_ms: vec![works],
             failures: vec![u32::from(rng.random_bool(kind.failing))],
             hopeless: false,
+            deadly: false,
         },
     }
 }
--- a/crates/sim/src/truth.rs
+++ b/crates/sim/src/truth.rs
@@ -12,6 +12,8 @@
     pub failures: Vec<u32>,
     /// Whether every run fails.
     pub hopeless: bool,
+    /// Whether the first task of each step crashes each upstream that starts it.
+    pub deadly: bool,
 }
 
 impl Truth {
--- a/crates/sim/src/world/runs.rs
+++ b/crates/sim/src/world/runs.rs
@@ -1,13 +1,16 @@
 use {
-    super::World,
+    super::{World, happening::Happening},
     crate::{
-        Nature, Truth,
+        Nature, Trouble, Truth,
         upstream::{Run, saved_ms},
     },
     plan::engine::{Refusal, Start},
     work::{id, upstream::Outcome},
 };
 
+/// Time from the start of a task that crashes its upstream to the crash, in milliseconds.
+const CRASH_MS: f64 = 10.0;
+
 /// What runs on the upstreams.
 impl World {
     pub(super) fn start(
@@ -30,6 +33,7 @@
             .ok_or(Refusal::Malformed)?;
         let step = job.step(&order.task).ok_or(Refusal::Malformed)?;
         let truth: &Truth = &arrival.truth;
+        let is_deadly = truth.deadly;
         let saved = saved_ms(&order.checkpoint);
         let far = self.is_far(id, order);
         let factor = if far {
@@ -77,6 +81,10 @@
             self.oracle
                 .begun(&self.book, id, order.task, room, late, now_ms as u64);
         }
+        if is_deadly && order.task.index == 0 {
+            let at_ms = now_ms + CRASH_MS;
+            self.at(at_ms, Happening::Trouble(Trouble::Reborn(id.clone())));
+        }
         self.first_starts.entry(order.task.job).or_insert(now_ms);
         self.gather(key);
         Ok(clock)
