--- a/crates/plan/tests/loss/cluster.rs
+++ b/crates/plan/tests/loss/cluster.rs
@@ -49,6 +49,7 @@
     is_cut: bool,
     crash_at_ms: Option<u64>,
     back_at_ms: u64,
+    accelerators: i64,
     running: IndexMap<(id::Task, u32), u64>,
     ended: Vec<End>,
     last_end: u64,
@@ -59,6 +60,8 @@
     pub now_ms: u64,
     /// Number of crashes under each task, including those that another task caused.
     pub crashes: IndexMap<id::Task, u32>,
+    /// Starts that brought an upstream over its capacity.
+    pub overfull: Vec<id::Task>,
     /// Number of starts of each task since the third crash under it.
     pub starts_after_third_crash: IndexMap<id::Task, u32>,
     pub restart_after_ms: u64,
@@ -83,6 +86,7 @@
             registry,
             now_ms: 0,
             crashes: IndexMap::new(),
+            overfull: Vec::new(),
             starts_after_third_crash: IndexMap::new(),
             restart_after_ms: RESTART_AFTER_MS,
             returns,
@@ -101,6 +105,7 @@
                 is_cut: false,
                 crash_at_ms: None,
                 back_at_ms: 0,
+                accelerators: 8,
                 running: IndexMap::new(),
                 ended: Vec::new(),
                 last_end: 0,
@@ -141,6 +146,12 @@
         self.engine = Engine::new(Settings::default(), self.now());
     }
 
+    /// Changes the capacity of an upstream, as its next heartbeat reports it.
+    pub fn set_accelerators(&mut self, index: usize, accelerators: i64) {
+        self.nodes[index].accelerators = accelerators;
+        self.register(index);
+    }
+
     /// Cuts all upstreams off that run a task of the job, or connects them all again.
     pub fn set_cut(&mut self, job: Option<id::Job>) {
         for node in &mut self.nodes {
@@ -176,7 +187,7 @@
                 data_centre: "dc".into(),
                 service: "pool".into(),
                 capacity: Resources {
-                    accelerators: 8,
+                    accelerators: node.accelerators,
                     ..Resources::default()
                 },
                 labels: vec![],
@@ -259,8 +270,12 @@
             } => {
                 let key = (order.task, order.run);
                 let mut begins = false;
+                let mut room = 0;
+                let mut running = Vec::new();
                 let answer = self.reach(&target).map(|node| {
                     begins = node.running.insert(key, now_ms).is_none();
+                    room = node.accelerators;
+                    running.extend(node.running.keys().map(|(task, _)| *task));
                     if order.task.job == DEADLY {
                         node.crash_at_ms = Some(now_ms + CRASH_AFTER_MS);
                     }
@@ -274,6 +289,10 @@
                 {
                     *self.starts_after_third_crash.entry(order.task).or_default() += 1;
                 }
+                let steps = running.iter().filter_map(|task| self.registry.step(task));
+                if begins && steps.map(|step| step.need.accelerators).sum::<i64>() > room {
+                    self.overfull.push(order.task);
+                }
                 Event::StartAnswered { call, answer }
             }
             Effect::Stop {
--- a/crates/plan/tests/loss/main.rs
+++ b/crates/plan/tests/loss/main.rs
@@ -1,5 +1,6 @@
-//! Runs that are lost with their upstream, or with the connection to it.
+//! Upstreams that crash, that cannot be reached, or whose capacity changes.
 
+mod capacity;
 mod cluster;
 mod crash;
 mod cut;
