--- a/crates/plan/src/engine/crash.rs
+++ b/crates/plan/src/engine/crash.rs
@@ -3,6 +3,7 @@
     work::{
         id,
         registry::{Blame, Registry, Update, Void},
+        upstream::Upstream,
     },
 };
 
@@ -15,7 +16,7 @@
             return;
         };
         // The start time is 0 where upstreams do not report it.
-        let is_replaced = |earlier: &&work::upstream::Upstream| {
+        let is_replaced = |earlier: &&Upstream| {
             earlier.address == upstream.address
                 && earlier.id != upstream.id
                 && earlier.born_ms > 0
@@ -79,18 +80,9 @@
         };
         let alone = lost.iter().all(same_unit);
         for key in lost {
+            let lasting = registry.step(&key.0).is_some_and(|step| step.lasting);
             if let Some(tracked) = self.tracked_runs.get_mut(&key) {
-                let has_progress = tracked.percent > 0;
-                tracked.blame = match tracked.is_known_to_have_started() && !has_progress {
-                    true if alone => Blame::Sole,
-                    true => Blame::Shared,
-                    false if tracked.may_have_started() => Blame::Possible,
-                    false => Blame::None,
-                };
-                let lasting = registry.step(&key.0).is_some_and(|step| step.lasting);
-                if lasting && has_progress {
-                    tracked.blame = Blame::None;
-                }
+                tracked.blame = blame_of_crash(tracked, alone, lasting);
             }
         }
     }
@@ -108,3 +100,18 @@
         }
     }
 }
+
+/// How far a run may have caused the crash of its upstream. `alone` tells whether nothing else ran there.
+fn blame_of_crash(tracked: &TrackedRun, alone: bool, lasting: bool) -> Blame {
+    let has_progress = tracked.percent > 0;
+    // Tasks that last meet so many crashes of other causes that those in the middle of their work say nothing.
+    let is_out_of_question = lasting && has_progress;
+    if is_out_of_question || !tracked.may_have_started() {
+        return Blame::None;
+    }
+    match tracked.is_known_to_have_started() && !has_progress {
+        true if alone => Blame::Sole,
+        true => Blame::Shared,
+        false => Blame::Possible,
+    }
+}
--- a/crates/plan/src/engine/planning.rs
+++ b/crates/plan/src/engine/planning.rs
@@ -241,12 +241,10 @@
             };
             let host = &mut round.hosts[*position];
             host.free -= live.resources;
-            host.endangered |= self.endangers_others(round.registry, key);
-            let stopping = self
-                .tracked_runs
-                .get(key)
-                .is_some_and(|tracked| tracked.stopping.is_some());
-            if !stopping {
+            let tracked = self.tracked_runs.get(key);
+            let has_progress = tracked.is_some_and(|tracked| tracked.percent > 0);
+            host.endangered |= !has_progress && is_suspect(round.registry, &key.0);
+            if tracked.is_none_or(|tracked| tracked.stopping.is_none()) {
                 host.free_soon -= live.resources;
             }
             if round
@@ -283,12 +281,6 @@
         }
     }
 
-    /// Whether a run may crash its upstream: its task may have crashed one before, and it has made no progress.
-    fn endangers_others(&self, registry: &Registry, key: &RunKey) -> bool {
-        let tracked = self.tracked_runs.get(key);
-        is_suspect(registry, &key.0) && tracked.is_none_or(|tracked| tracked.percent == 0)
-    }
-
     fn plan_gang(&mut self, round: &mut Round<'_>, unit: &Unit<'_>, allowed: &[bool]) {
         if round.allowance(unit) < unit.tasks.len() {
             return;
@@ -467,6 +459,7 @@
     }
 }
 
+/// Whether the task may have crashed an upstream.
 fn is_suspect(registry: &Registry, task: &id::Task) -> bool {
     let progress = registry.task(task);
     progress.is_some_and(|progress| progress.losses.is_suspect())
