--- a/crates/work/src/registry/apply.rs
+++ b/crates/work/src/registry/apply.rs
@@ -295,10 +295,7 @@
 
     /// Removes a run and its allocation; returns the run if it existed.
     pub(super) fn remove_run(&mut self, task: &id::Task, number: u32) -> Option<Run> {
-        let job = self.jobs.get_mut(&task.job)?;
-        let occurrence = job.occurrences.get_mut(&task.occurrence)?;
-        let progress = occurrence.steps.get_mut(usize::from(task.step))?;
-        let state = progress.tasks.get_mut(usize::from(task.index))?;
+        let state = self.task_mut(task)?;
         let position = state.live.iter().position(|run| run.number == number)?;
         let run = state.live.remove(position);
         if let Some(runs) = self.live.get_mut(&run.upstream) {
@@ -320,13 +317,7 @@
         };
         let upstream = run.upstream.clone();
         let moved = Run { born_ms, ..run };
-        let state = self
-            .jobs
-            .get_mut(&task.job)
-            .and_then(|job| job.occurrences.get_mut(&task.occurrence))
-            .and_then(|occurrence| occurrence.steps.get_mut(usize::from(task.step)))
-            .and_then(|progress| progress.tasks.get_mut(usize::from(task.index)));
-        if let Some(state) = state {
+        if let Some(state) = self.task_mut(task) {
             state.live.push(moved);
             let runs = self.live.entry(upstream).or_default();
             runs.insert((*task, number), Allocation { resources, born_ms });
--- a/crates/work/src/registry/ends.rs
+++ b/crates/work/src/registry/ends.rs
@@ -119,15 +119,8 @@
         if checkpoint.is_empty() {
             return;
         }
-        let Some(job) = self.jobs.get_mut(&task.job) else {
-            return;
-        };
-        let gang = job.step(task).is_some_and(|step| step.gang);
-        let Some(progress) = job
-            .occurrences
-            .get_mut(&task.occurrence)
-            .and_then(|occurrence| occurrence.steps.get_mut(usize::from(task.step)))
-        else {
+        let gang = self.step(task).is_some_and(|step| step.gang);
+        let Some(progress) = self.progress_mut(task) else {
             return;
         };
         for (index, state) in progress.tasks.iter_mut().enumerate() {
@@ -152,15 +145,8 @@
     /// Returns whether the task is given up.
     fn record_loss(&mut self, task: &id::Task, run: u32, blame: Blame) -> bool {
         let time_ms = self.time_ms;
-        let Some(job) = self.jobs.get_mut(&task.job) else {
-            return false;
-        };
-        let gang = job.step(task).is_some_and(|step| step.gang);
-        let Some(progress) = job
-            .occurrences
-            .get_mut(&task.occurrence)
-            .and_then(|occurrence| occurrence.steps.get_mut(usize::from(task.step)))
-        else {
+        let gang = self.step(task).is_some_and(|step| step.gang);
+        let Some(progress) = self.progress_mut(task) else {
             return false;
         };
         if gang && progress.gang_lost_run != run {
--- a/crates/work/src/registry/registry.rs
+++ b/crates/work/src/registry/registry.rs
@@ -131,6 +131,20 @@
         occurrence.steps.get(usize::from(task.step))
     }
 
+    pub(super) fn progress_mut(&mut self, task: &id::Task) -> Option<&mut StepProgress> {
+        let occurrence = self
+            .jobs
+            .get_mut(&task.job)?
+            .occurrences
+            .get_mut(&task.occurrence)?;
+        occurrence.steps.get_mut(usize::from(task.step))
+    }
+
+    pub(super) fn task_mut(&mut self, task: &id::Task) -> Option<&mut TaskProgress> {
+        let progress = self.progress_mut(task)?;
+        progress.tasks.get_mut(usize::from(task.index))
+    }
+
     /// Progress of an occurrence; none before it has begun.
     pub fn occurrence(&self, job: id::Job, occurrence: u32) -> Option<&Occurrence> {
         self.jobs.get(&job)?.occurrences.get(&occurrence)
