--- a/crates/plan/src/engine/crash.rs
+++ b/crates/plan/src/engine/crash.rs
@@ -104,9 +104,9 @@
 /// How far a run may have caused the crash of its upstream. `alone` tells whether nothing else ran there.
 fn blame_of_crash(tracked: &TrackedRun, alone: bool, lasting: bool) -> Blame {
     let has_progress = tracked.percent > 0;
-    // Tasks that last meet so many crashes of other causes that those in the middle of their work say nothing.
-    let is_out_of_question = lasting && has_progress;
-    if is_out_of_question || !tracked.may_have_started() {
+    // A task that lasts meets many crashes of other causes, so only those before it was at work count.
+    let was_at_work = lasting && has_progress;
+    if was_at_work || !tracked.may_have_started() {
         return Blame::None;
     }
     match tracked.is_known_to_have_started() && !has_progress {
--- a/crates/plan/src/engine/planning.rs
+++ b/crates/plan/src/engine/planning.rs
@@ -87,7 +87,7 @@
         for place in places {
             let host = &mut self.hosts[*place];
             host.reserve(unit);
-            host.endangered |= unit.suspect;
+            host.has_suspect |= unit.suspect;
             if let Some(supply) = self.supply.get_mut(unit.service) {
                 supply.allocate(unit, host.set_aside);
             }
@@ -193,7 +193,7 @@
                 single_work: Resources::default(),
                 set_aside: false,
                 collecting: false,
-                endangered: false,
+                has_suspect: false,
             });
         }
         let mut round = Round {
@@ -243,7 +243,7 @@
             host.free -= live.resources;
             let tracked = self.tracked_runs.get(key);
             let has_progress = tracked.is_some_and(|tracked| tracked.percent > 0);
-            host.endangered |= !has_progress && is_suspect(round.registry, &key.0);
+            host.has_suspect |= !has_progress && is_suspect(round.registry, &key.0);
             if tracked.is_none_or(|tracked| tracked.stopping.is_none()) {
                 host.free_soon -= live.resources;
             }
@@ -272,7 +272,7 @@
             }
             round.count_usage(&placement.task, &placement.upstream, step.reserved());
             let host = &mut round.hosts[position];
-            host.endangered |= is_suspect(round.registry, &placement.task);
+            host.has_suspect |= is_suspect(round.registry, &placement.task);
             host.free -= step.reserved();
             host.free_soon -= step.reserved();
             if step.spread.is_some() {
--- a/crates/plan/src/place/host.rs
+++ b/crates/plan/src/place/host.rs
@@ -27,8 +27,8 @@
     pub set_aside: bool,
     /// Whether room is collected on it for a waiting gang.
     pub collecting: bool,
-    /// Whether it runs a task that may have crashed an upstream and that has made no progress yet.
-    pub endangered: bool,
+    /// Whether it runs a task that may crash its upstream: it may have crashed one before, and has made no progress yet.
+    pub has_suspect: bool,
 }
 
 /// Which resources count as available.
@@ -49,7 +49,7 @@
         let has_failed = unit.failed_on.contains(&self.upstream.id);
         let is_separate = match unit.isolated {
             true => self.is_empty(),
-            false => !self.endangered,
+            false => !self.has_suspect,
         };
         self.upstream.service == unit.service && has_label && is_safe && !has_failed && is_separate
     }
--- a/crates/plan/tests/place.rs
+++ b/crates/plan/tests/place.rs
@@ -59,7 +59,7 @@
         single_work: Resources::default(),
         set_aside: false,
         collecting: false,
-        endangered: false,
+        has_suspect: false,
     };
     upstreams.iter().map(host).collect()
 }
@@ -197,6 +197,37 @@
     );
 }
 
+/// Guards against a task that may crash its upstream and takes other work with it: it goes to an upstream without other
+/// work, also one that is set aside, and nothing follows it there.
+#[test]
+fn a_task_that_may_crash_its_upstream_is_placed_alone() {
+    let upstreams = upstreams(2);
+    let mut hosts = hosts(&upstreams);
+    let step = step(1, 1);
+    let other = unit(&step, 1, Rank::OnTime(1));
+    let suspect = Unit {
+        suspect: true,
+        isolated: true,
+        ..other.clone()
+    };
+    let allowed = all(&hosts);
+    let place =
+        |unit: &Unit<'_>, hosts: &[Host<'_>]| place::single(unit, hosts, &allowed, Locality::Far);
+    hosts[0].reserve(&other);
+    hosts[1].set_aside = true;
+    assert_eq!(place(&suspect, &hosts), Some(1));
+    hosts[1].set_aside = false;
+    hosts[1].reserve(&suspect);
+    hosts[1].has_suspect = true;
+    assert_eq!(place(&suspect, &hosts), None);
+    assert_eq!(place(&other, &hosts), Some(0));
+    let waited = Unit {
+        isolated: false,
+        ..suspect
+    };
+    assert_eq!(place(&waited, &hosts), Some(0));
+}
+
 fn victim(
     number: u64,
     host: usize,
