plan, dispatch: report the time of steps, the age of events, and why work waits

On-call engineers could not tell a leader without processor time from one that keeps accelerators free: no line said how long a step of the engine or a proposal takes, how old events are when they are handled, or why a unit was not started.

event=leader_steps has these times and the number of entries examined once a second, three histograms serve them as metrics, event=waiting counts the waiting work by reason, and event=gang_waits has the reason for each gang that has waited for more than a second. The volume is bounded to a line a second, one for each reason, and 24 gangs. No decision changes.

--- a/crates/dispatch/src/control/control.rs
+++ b/crates/dispatch/src/control/control.rs
@@ -108,6 +108,7 @@
             median_clock,
             settings: setup.plan,
             inputs,
+            observer: setup.observer,
         };
         tokio::spawn(driver.run(events));
         tokio::spawn(membership::run(control.clone()));
@@ -188,7 +189,12 @@
 
     /// Sends an event to the engine, which then runs without waiting for its next tick.
     pub(super) fn wake(&self, event: Event) {
-        drop(self.shared.inputs.send((0, event)));
+        let input = Input {
+            term: 0,
+            event,
+            queued_at: self.shared.clock.now(),
+        };
+        drop(self.shared.inputs.send(input));
     }
 
     pub(super) fn contacts(&self) -> MutexGuard<'_, IndexMap<u64, Contact>> {
--- a/crates/dispatch/src/control/setup.rs
+++ b/crates/dispatch/src/control/setup.rs
@@ -1,5 +1,5 @@
 use {
-    crate::UpstreamClient,
+    crate::{Observer, UpstreamClient},
     model::clock::Clock,
     plan::engine::Settings,
     std::{net::SocketAddrV4, path::PathBuf, sync::Arc},
@@ -23,4 +23,6 @@
     pub clock: Arc<dyn Clock>,
     /// Client for upstreams and the policy service.
     pub upstream_client: Arc<dyn UpstreamClient>,
+    /// Receiver of the times that the leader's work takes.
+    pub observer: Arc<dyn Observer>,
 }
--- a/crates/dispatch/src/leader/driver.rs
+++ b/crates/dispatch/src/leader/driver.rs
@@ -1,11 +1,11 @@
 use {
-    super::{TermEngine, UpstreamClient},
+    super::{Observer, TermEngine, UpstreamClient, step_times::StepTimes},
     crate::{control::Replica, time::MedianClock},
     model::clock::Clock,
     plan::engine::{Effect, Engine, Event, Settings},
     std::{
         sync::{Arc, Mutex, PoisonError},
-        time::Duration,
+        time::{Duration, Instant},
     },
     tokio::{sync::mpsc, time},
     wire::Verdict,
@@ -19,8 +19,14 @@
 /// Limit of events that one step of the engine handles besides the first.
 const MAX_BATCH: usize = 4096;
 
-/// A term and an event for its engine; term 0 stands for the current one. Events of other terms are dropped.
-pub(crate) type Input = (u64, Event);
+/// An event for the engine of a term.
+pub(crate) struct Input {
+    /// Term of the engine; 0 stands for the current one. Events of other terms are dropped.
+    pub term: u64,
+    pub event: Event,
+    /// Time at which the event was queued.
+    pub queued_at: Instant,
+}
 
 /// Runs the engine and performs its effects while the replica leads.
 pub struct Driver {
@@ -30,29 +36,61 @@
     pub(crate) median_clock: Arc<Mutex<MedianClock>>,
     pub(crate) settings: Settings,
     pub(crate) inputs: mpsc::UnboundedSender<Input>,
+    pub(crate) observer: Arc<dyn Observer>,
+}
+
+/// Queue of the engine's inputs, for calls and proposals of one term.
+#[derive(Clone)]
+struct Queue {
+    term: u64,
+    inputs: mpsc::UnboundedSender<Input>,
+    clock: Arc<dyn Clock>,
+}
+
+impl Queue {
+    fn push(&self, event: Event) {
+        let input = Input {
+            term: self.term,
+            event,
+            queued_at: self.clock.now(),
+        };
+        drop(self.inputs.send(input));
+    }
 }
 
 impl Driver {
     /// Processes events until the channel is closed.
     pub(crate) async fn run(self, mut events: mpsc::UnboundedReceiver<Input>) {
         let mut term_engine = TermEngine::default();
+        let times = Arc::new(Mutex::new(StepTimes::default()));
         loop {
+            let mut oldest = None;
+            let mut push = |input: Input| {
+                oldest.get_or_insert(input.queued_at);
+                term_engine.push(input.term, input.event);
+            };
             match time::timeout(TICK_INTERVAL, events.recv()).await {
-                Ok(Some((term, event))) => term_engine.push(term, event),
+                Ok(Some(input)) => push(input),
                 Ok(None) => return,
                 Err(_) => {}
             }
             for _ in 0..MAX_BATCH {
-                let Ok((term, event)) = events.try_recv() else {
+                let Ok(input) = events.try_recv() else {
                     break;
                 };
-                term_engine.push(term, event);
+                push(input);
             }
-            self.step_engine(&mut term_engine);
+            self.step_engine(&mut term_engine, oldest, &times);
         }
     }
 
-    fn step_engine(&self, term_engine: &mut TermEngine) {
+    /// Steps the engine of the current term; `oldest` is the time at which the oldest of its events was queued.
+    fn step_engine(
+        &self,
+        term_engine: &mut TermEngine,
+        oldest: Option<Instant>,
+        times: &Arc<Mutex<StepTimes>>,
+    ) {
         let now = self.clock.now();
         let new_engine = || Engine::new(self.settings.clone(), now);
         let Some((term, engine, events)) =
@@ -69,17 +107,34 @@
             .unwrap_or_else(PoisonError::into_inner);
         let time_ms = median_clock.now_ms(now);
         drop(median_clock);
+        let event_age = oldest.map_or(Duration::ZERO, |oldest| {
+            now.saturating_duration_since(oldest)
+        });
+        let event_count = events.len();
         let effects = engine.step(events, &state.registry(), now, time_ms);
+        let took = self.clock.now().saturating_duration_since(now);
+        self.observer.record_step(took, event_age);
+        let mut step_times = times.lock().unwrap_or_else(PoisonError::into_inner);
+        step_times.record_step(took, event_age, event_count, engine.take_effort());
+        step_times.report(now);
+        drop(step_times);
         for effect in effects {
-            self.perform(term, effect, time_ms);
+            self.perform(term, effect, time_ms, times);
         }
     }
 
-    fn perform(&self, term: u64, effect: Effect, time_ms: u64) {
-        let inputs = self.inputs.clone();
+    fn perform(&self, term: u64, effect: Effect, time_ms: u64, times: &Arc<Mutex<StepTimes>>) {
+        let queue = Queue {
+            term,
+            inputs: self.inputs.clone(),
+            clock: self.clock.clone(),
+        };
         match effect {
             Effect::Propose { proposal, updates } => {
                 let replica = self.replica.clone();
+                let observer = self.observer.clone();
+                let times = times.clone();
+                let proposed_at = self.clock.now();
                 let command = Command::Progress {
                     at_ms: time_ms,
                     steps: updates,
@@ -93,7 +148,12 @@
                             Event::ProposalFailed { proposal }
                         }
                     };
-                    drop(inputs.send((term, event)));
+                    let took = queue.clock.now().saturating_duration_since(proposed_at);
+                    observer.record_proposal(took);
+                    let mut times = times.lock().unwrap_or_else(PoisonError::into_inner);
+                    times.record_proposal(took);
+                    drop(times);
+                    queue.push(event);
                 });
             }
             Effect::Hold {
@@ -104,7 +164,7 @@
                 let answer = self.upstream_client.hold(target, term, order);
                 tokio::spawn(async move {
                     let answer = answer.await;
-                    drop(inputs.send((term, Event::HoldAnswered { call, answer })));
+                    queue.push(Event::HoldAnswered { call, answer });
                 });
             }
             Effect::Start {
@@ -115,7 +175,7 @@
                 let answer = self.upstream_client.start(target, term, order);
                 tokio::spawn(async move {
                     let answer = answer.await;
-                    drop(inputs.send((term, Event::StartAnswered { call, answer })));
+                    queue.push(Event::StartAnswered { call, answer });
                 });
             }
             Effect::Stop {
@@ -126,7 +186,7 @@
                 let answer = self.upstream_client.stop(target, term, order);
                 tokio::spawn(async move {
                     let answer = answer.await;
-                    drop(inputs.send((term, Event::StopAnswered { call, answer })));
+                    queue.push(Event::StopAnswered { call, answer });
                 });
             }
             Effect::Advise {
@@ -137,7 +197,7 @@
                 let answer = self.upstream_client.advise(step, upstreams);
                 tokio::spawn(async move {
                     let answer = answer.await;
-                    drop(inputs.send((term, Event::AdviceAnswered { call, answer })));
+                    queue.push(Event::AdviceAnswered { call, answer });
                 });
             }
         }
--- a/crates/dispatch/src/leader/mod.rs
+++ b/crates/dispatch/src/leader/mod.rs
@@ -1,8 +1,12 @@
 //! Control of runs: drives the engine and performs its effects while this instance leads.
 
 mod driver;
+mod observer;
+mod step_times;
 mod term_engine;
 mod upstream_client;
 
 pub(crate) use driver::Input;
-pub use {driver::Driver, term_engine::TermEngine, upstream_client::UpstreamClient};
+pub use {
+    driver::Driver, observer::Observer, term_engine::TermEngine, upstream_client::UpstreamClient,
+};
--- /dev/null
+++ b/crates/dispatch/src/leader/observer.rs
@@ -0,0 +1,10 @@
+use std::time::Duration;
+
+/// Receiver of the times that the leader's work takes.
+pub trait Observer: Send + Sync {
+    /// A step of the engine took `took`; the oldest event that it handled had waited for `event_age`.
+    fn record_step(&self, took: Duration, event_age: Duration);
+
+    /// A proposal had an outcome after `took`.
+    fn record_proposal(&self, took: Duration);
+}
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -8,5 +8,5 @@
 
 pub use {
     control::{Control, Setup},
-    leader::UpstreamClient,
+    leader::{Observer, UpstreamClient},
 };
--- a/crates/dispatch/tests/group.rs
+++ b/crates/dispatch/tests/group.rs
@@ -1,7 +1,7 @@
 //! Formation of a control group and its handling of upstreams, with real disks and loopback connections.
 
 use {
-    dispatch::{Control, Setup, UpstreamClient},
+    dispatch::{Control, Observer, Setup, UpstreamClient},
     futures::{FutureExt, future::BoxFuture},
     gate::{
         Outcome,
@@ -61,6 +61,15 @@
     }
 }
 
+/// Ignores all times.
+struct Unobserved;
+
+impl Observer for Unobserved {
+    fn record_step(&self, _: Duration, _: Duration) {}
+
+    fn record_proposal(&self, _: Duration) {}
+}
+
 fn addresses(count: usize) -> Vec<SocketAddrV4> {
     let listeners: Vec<TcpListener> = (0..count)
         .map(|_| TcpListener::bind("127.0.0.1:0").unwrap())
@@ -89,6 +98,7 @@
         plan: Settings::default(),
         clock: Arc::new(Boot::open()),
         upstream_client: Arc::new(Unreachable),
+        observer: Arc::new(Unobserved),
     })
     .unwrap()
 }
--- a/crates/plan/src/engine/engine.rs
+++ b/crates/plan/src/engine/engine.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        Effect, Event, Failure, Refusal, Settings, Target,
+        Effect, Effort, Event, Failure, Refusal, Settings, Target,
         advice::Advice,
         drain::Departures,
         session::Session,
@@ -90,6 +90,8 @@
     pub(super) departures: Departures,
     /// Headroom for urgent work, by service.
     pub(super) headroom: IndexMap<String, Headroom>,
+    /// Entries examined since [`Engine::take_effort`] was last called.
+    pub(super) effort: Effort,
 }
 
 impl Engine {
@@ -123,6 +125,7 @@
             next_report: now,
             departures: Departures::new(),
             headroom: IndexMap::new(),
+            effort: Effort::default(),
         }
     }
 
@@ -177,6 +180,11 @@
             .count()
     }
 
+    /// Entries examined since the previous call.
+    pub fn take_effort(&mut self) -> Effort {
+        std::mem::take(&mut self.effort)
+    }
+
     /// Number of runs that may still be running.
     pub fn live_runs(&self) -> usize {
         self.tracked_runs.len()
@@ -208,6 +216,7 @@
         self.seen_revision = Some(registry.revision());
         self.plan_needed = true;
         for upstream in registry.upstreams() {
+            self.effort.synced += 1;
             let known = self.sessions.get(&upstream.id);
             if known.is_none_or(|session| session.born_ms != upstream.born_ms) {
                 if let Some(earlier) = known.cloned() {
@@ -235,6 +244,7 @@
             self.record_unresolved_start(key, &tracked);
         }
         for (upstream, key, live) in registry.allocations() {
+            self.effort.synced += 1;
             let is_proposed = || {
                 let mut placements = self.proposed_placements.values().flatten();
                 !first && placements.any(|placement| placement.task == key.0)
--- a/crates/plan/src/engine/mod.rs
+++ b/crates/plan/src/engine/mod.rs
@@ -4,9 +4,12 @@
 mod crash;
 mod drain;
 mod effect;
+mod effort;
 mod engine;
 mod event;
 mod hold;
+mod load_report;
+mod obstacle;
 mod planning;
 mod runs;
 mod session;
@@ -16,6 +19,7 @@
 pub use {
     drain::Drain,
     effect::{Effect, Hold, Start, Stop, Target},
+    effort::Effort,
     engine::Engine,
     event::{Event, Failure, Listing, Refusal, Running},
     settings::Settings,
--- a/crates/plan/src/engine/planning.rs
+++ b/crates/plan/src/engine/planning.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Engine, engine::RunKey},
+    super::{Engine, engine::RunKey, obstacle::Obstacle},
     crate::{
         headroom::{self, Headroom, Supply},
         order::{self, Rank, Unit},
@@ -7,7 +7,6 @@
         reclaim::{self, Victim},
     },
     indexmap::{IndexMap, IndexSet},
-    std::time::Duration,
     work::{
         id,
         job::Resources,
@@ -34,13 +33,10 @@
 /// Progress in percent from which a run is not preempted: it ends about as soon as it could be stopped.
 const NEARLY_DONE_PERCENT: u8 = 90;
 
-/// Interval between two log lines about the load.
-const REPORT_INTERVAL: Duration = Duration::from_secs(1);
-
 /// State of one planning round.
-struct Round<'a> {
+pub(super) struct Round<'a> {
     registry: &'a Registry,
-    hosts: Vec<Host<'a>>,
+    pub(super) hosts: Vec<Host<'a>>,
     /// Positions in `hosts`, by upstream.
     positions: IndexMap<id::Upstream, usize>,
     /// Whether a service counts as idle, by service.
@@ -54,7 +50,7 @@
     /// Resources that urgent work uses, by service.
     urgent_usage: IndexMap<&'a str, Resources>,
     /// Accelerators, by service.
-    supply: IndexMap<&'a str, Supply>,
+    pub(super) supply: IndexMap<&'a str, Supply>,
 }
 
 impl Round<'_> {
@@ -113,59 +109,30 @@
             &self.settings,
             &assigned,
         );
-        self.report_load(&round, &units);
+        let reports = self.is_report_due();
+        if reports {
+            self.report_load(&round, &units);
+        }
+        let mut waiting = Vec::new();
         for unit in &units {
-            if round.assigned >= MAX_ASSIGNED {
-                break;
-            }
-            let allowed = self.allowed(registry, unit, &round.hosts);
-            if unit.step.gang {
-                self.plan_gang(&mut round, unit, &allowed);
+            let obstacle = if round.assigned >= MAX_ASSIGNED {
+                if !reports {
+                    break;
+                }
+                Some(Obstacle::RoundLimit)
             } else {
-                self.plan_tasks(&mut round, unit, &allowed);
-            }
-        }
-    }
-
-    /// Logs the waiting work and the free resources at a fixed interval.
-    fn report_load(&mut self, round: &Round<'_>, units: &[Unit<'_>]) {
-        if self.now < self.next_report {
-            return;
+                self.effort.planned += round.hosts.len() as u64;
+                let allowed = self.allowed(registry, unit, &round.hosts);
+                match unit.step.gang {
+                    true => self.plan_gang(&mut round, unit, &allowed),
+                    false => self.plan_tasks(&mut round, unit, &allowed),
+                }
+            };
+            waiting.extend(obstacle.map(|obstacle| (unit, obstacle)));
         }
-        self.next_report = self.now + REPORT_INTERVAL;
-        let waiting = |selects: fn(Rank) -> bool| {
-            let units = units.iter().filter(|unit| selects(unit.rank));
-            units.map(|unit| unit.tasks.len()).sum::<usize>()
-        };
-        let mut free = Resources::default();
-        let mut capacity = Resources::default();
-        for host in &round.hosts {
-            free += host.free;
-            capacity += host.upstream.capacity;
+        if reports {
+            self.report_waiting(&waiting);
         }
-        log::info!(
-            "event=load usable={} runs={} accelerators_free={} of={} cores_free={:.0} empty={} waiting_urgent={} waiting_urgent_late={} waiting_on_time={} waiting_late={} waiting_worthless={} kept={}",
-            round.hosts.len(),
-            self.tracked_runs.len(),
-            free.accelerators,
-            capacity.accelerators,
-            free.cpu_milli as f64 / 1000.0,
-            round
-                .hosts
-                .iter()
-                .filter(|host| host.free == host.upstream.capacity)
-                .count(),
-            waiting(|rank| matches!(rank, Rank::Guaranteed | Rank::Urgent)),
-            waiting(|rank| rank == Rank::UrgentLate),
-            waiting(|rank| matches!(rank, Rank::OnTime(_))),
-            waiting(|rank| matches!(rank, Rank::Late(_))),
-            waiting(|rank| rank == Rank::Worthless),
-            round
-                .supply
-                .values()
-                .map(|supply| supply.reserved)
-                .sum::<i64>(),
-        );
     }
 
     fn begin_round<'a>(&mut self, registry: &'a Registry) -> Round<'a> {
@@ -207,6 +174,8 @@
             urgent_usage: IndexMap::new(),
             supply: IndexMap::new(),
         };
+        self.effort.rounds += 1;
+        self.effort.planned += (round.hosts.len() + self.tracked_runs.len()) as u64;
         self.subtract_usage(&mut round);
         round.idle = idle_services(&round.hosts);
         self.reserve_headroom(&mut round);
@@ -281,15 +250,21 @@
         }
     }
 
-    fn plan_gang(&mut self, round: &mut Round<'_>, unit: &Unit<'_>, allowed: &[bool]) {
+    /// Assigns a gang, or preempts other work for it. Returns what keeps it waiting, if it is not assigned.
+    fn plan_gang(
+        &mut self,
+        round: &mut Round<'_>,
+        unit: &Unit<'_>,
+        allowed: &[bool],
+    ) -> Option<Obstacle> {
         if round.allowance(unit) < unit.tasks.len() {
-            return;
+            return Some(Obstacle::Headroom);
         }
         let locality = self.locality(round, unit, allowed);
         if let Some(places) = place::gang(unit, &round.hosts, allowed, Availability::Now, locality)
         {
             self.assign(round, unit, &places);
-            return;
+            return None;
         }
         let Some(limit) = unit
             .rank
@@ -299,29 +274,32 @@
                 supply.reserve_for_gang(unit);
                 headroom::collect(unit, &mut round.hosts, allowed, locality, supply);
             }
-            return;
+            return Some(Obstacle::Room);
         };
         // Resources that are being freed are reserved, so that no work of lower rank takes them.
         if let Some(places) = place::gang(unit, &round.hosts, allowed, Availability::Soon, locality)
         {
             round.reserve(unit, &places);
-            return;
+            return Some(Obstacle::Freeing);
         }
-        if round.victim_searches >= MAX_VICTIM_SEARCHES || !self.has_met_upstreams() {
-            return;
+        if round.victim_searches >= MAX_VICTIM_SEARCHES {
+            return Some(Obstacle::SearchLimit);
+        }
+        if !self.has_met_upstreams() {
+            return Some(Obstacle::Discovery);
         }
         round.victim_searches += 1;
         let victims = self.victims(round, unit);
         let choice = reclaim::choose_victims(unit, &round.hosts, allowed, &victims, locality);
         let Some((chosen, places)) = choice else {
-            return;
+            return Some(Obstacle::Preemption);
         };
         let lost_core_seconds: f64 = chosen
             .iter()
             .map(|position| victims[*position].lost_core_seconds)
             .sum();
         if lost_core_seconds > limit {
-            return;
+            return Some(Obstacle::Preemption);
         }
         log::info!(
             "event=reclaim job={} step={} tasks={} rank={:?} victims={} waste_core_s={lost_core_seconds:.0} reach={locality:?}",
@@ -346,16 +324,26 @@
             }
         }
         round.reserve(unit, &places);
+        Some(Obstacle::Freeing)
     }
 
-    fn plan_tasks(&mut self, round: &mut Round<'_>, unit: &Unit<'_>, allowed: &[bool]) {
+    /// Assigns as many of the tasks as possible. Returns what keeps the others waiting.
+    fn plan_tasks(
+        &mut self,
+        round: &mut Round<'_>,
+        unit: &Unit<'_>,
+        allowed: &[bool],
+    ) -> Option<Obstacle> {
         let locality = self.locality(round, unit, allowed);
         for index in &unit.tasks {
-            if round.assigned >= MAX_ASSIGNED || round.allowance(unit) == 0 {
-                return;
+            if round.assigned >= MAX_ASSIGNED {
+                return Some(Obstacle::RoundLimit);
+            }
+            if round.allowance(unit) == 0 {
+                return Some(Obstacle::Headroom);
             }
             let Some(place) = place::single(unit, &round.hosts, allowed, locality) else {
-                return;
+                return Some(Obstacle::Room);
             };
             let one = Unit {
                 tasks: vec![*index],
@@ -363,6 +351,7 @@
             };
             self.assign(round, &one, &[place]);
         }
+        None
     }
 
     /// Expected work of a unit in core-seconds.
--- a/crates/plan/src/engine/runs.rs
+++ b/crates/plan/src/engine/runs.rs
@@ -270,6 +270,7 @@
     /// Checks all runs for expired leases, unanswered orders, missing progress, and whether they are still needed.
     pub(super) fn check_runs(&mut self, registry: &Registry) {
         let keys: Vec<RunKey> = self.tracked_runs.keys().copied().collect();
+        self.effort.checked += keys.len() as u64;
         for key in keys {
             self.check_lease(key);
             self.check_need(registry, key);
