--- a/crates/plan/src/engine/advice.rs
+++ b/crates/plan/src/engine/advice.rs
@@ -1,9 +1,8 @@
 use {
     super::{Effect, Engine, Failure},
     crate::{order::Unit, place::Host},
-    indexmap::IndexMap,
     std::time::{Duration, Instant},
-    work::{id, registry::Registry},
+    work::{collections::IndexMap, id, registry::Registry},
 };
 
 /// Maximum number of upstreams in one query. The latency objective of a job includes the time of one query about 30
--- a/crates/plan/src/engine/drain.rs
+++ b/crates/plan/src/engine/drain.rs
@@ -1,9 +1,8 @@
 use {
     super::{Engine, engine::RunKey, tracked_run::Phase},
     crate::learn,
-    indexmap::IndexMap,
     std::time::{Duration, Instant},
-    work::{id, registry::Registry},
+    work::{collections::IndexMap, id, registry::Registry},
 };
 
 /// An upstream often stays longer than announced, so a run without checkpoints is stopped only if its expected time
--- a/crates/plan/src/engine/hold.rs
+++ b/crates/plan/src/engine/hold.rs
@@ -5,9 +5,9 @@
         session::{PendingHold, Session},
         tracked_run::{Phase, StopOrder},
     },
-    indexmap::IndexMap,
     std::time::{Duration, Instant},
     work::{
+        collections::IndexMap,
         id,
         registry::{Registry, Update, Void},
         upstream::{End, Outcome},
--- a/crates/plan/src/engine/load_report.rs
+++ b/crates/plan/src/engine/load_report.rs
@@ -1,9 +1,8 @@
 use {
     super::{Engine, obstacle::Obstacle, planning::Round},
     crate::order::{Rank, Unit},
-    indexmap::IndexMap,
     std::time::Duration,
-    work::job::Resources,
+    work::{collections::IndexMap, job::Resources},
 };
 
 /// Interval between two reports.
@@ -74,7 +73,7 @@
 
     /// Logs what keeps work waiting after the round, and each gang that has waited for long.
     pub(super) fn report_waiting(&self, waiting: &[(&Unit<'_>, Obstacle)]) {
-        let mut totals: IndexMap<Obstacle, Total> = IndexMap::new();
+        let mut totals: IndexMap<Obstacle, Total> = IndexMap::default();
         let mut listed = 0;
         for (unit, obstacle) in waiting {
             let waited_ms = self.time_ms.saturating_sub(unit.ready_since_ms);
--- a/crates/plan/src/engine/planning.rs
+++ b/crates/plan/src/engine/planning.rs
@@ -6,8 +6,8 @@
         place::{self, Availability, Host, Locality},
         reclaim::{self, Victim},
     },
-    indexmap::{IndexMap, IndexSet},
     work::{
+        collections::{IndexMap, IndexSet},
         id,
         job::Resources,
         registry::{Placement, Registry, Update},
@@ -137,7 +137,7 @@
 
     fn begin_round<'a>(&mut self, registry: &'a Registry) -> Round<'a> {
         let mut hosts = Vec::new();
-        let mut positions = IndexMap::new();
+        let mut positions = IndexMap::default();
         for upstream in registry.upstreams() {
             let usable = self
                 .sessions
@@ -167,12 +167,12 @@
             registry,
             hosts,
             positions,
-            idle: IndexMap::new(),
+            idle: IndexMap::default(),
             assigned: 0,
             victim_searches: 0,
             guaranteed: order::guaranteed_accounts(registry),
-            urgent_usage: IndexMap::new(),
-            supply: IndexMap::new(),
+            urgent_usage: IndexMap::default(),
+            supply: IndexMap::default(),
         };
         self.effort.rounds += 1;
         self.effort.planned += (round.hosts.len() + self.tracked_runs.len()) as u64;
@@ -396,8 +396,8 @@
 
     /// Running work that may be preempted for the unit; a gang only if all of its members may be.
     fn victims(&self, round: &Round<'_>, unit: &Unit<'_>) -> Vec<Victim> {
-        let mut groups: IndexMap<RunKey, Victim> = IndexMap::new();
-        let mut protected: IndexSet<RunKey> = IndexSet::new();
+        let mut groups: IndexMap<RunKey, Victim> = IndexMap::default();
+        let mut protected: IndexSet<RunKey> = IndexSet::default();
         for (key, tracked) in &self.tracked_runs {
             let (Some(job), Some(step)) =
                 (round.registry.job(key.0.job), round.registry.step(&key.0))
@@ -455,7 +455,7 @@
 }
 
 fn idle_services(hosts: &[Host<'_>]) -> IndexMap<String, bool> {
-    let mut totals: IndexMap<String, (Resources, Resources)> = IndexMap::new();
+    let mut totals: IndexMap<String, (Resources, Resources)> = IndexMap::default();
     for host in hosts {
         let (capacity, free) = totals.entry(host.upstream.service.clone()).or_default();
         *capacity += host.upstream.capacity;
--- a/crates/plan/src/engine/session.rs
+++ b/crates/plan/src/engine/session.rs
@@ -1,8 +1,7 @@
 use {
     super::Settings,
-    indexmap::IndexSet,
     std::time::{Duration, Instant},
-    work::id,
+    work::{collections::IndexSet, id},
 };
 
 /// Silence, in heartbeat intervals, after which an upstream gets no new work. It allows for one lost heartbeat.
@@ -77,7 +76,7 @@
             failed_at: now,
             released_end: 0,
             proposed_end: 0,
-            strays: IndexSet::new(),
+            strays: IndexSet::default(),
         }
     }
 
--- a/crates/plan/src/headroom/collection.rs
+++ b/crates/plan/src/headroom/collection.rs
@@ -4,8 +4,8 @@
         order::{Rank, Unit},
         place::{self, Availability, Host, Locality},
     },
-    indexmap::IndexMap,
     std::cmp::Reverse,
+    work::collections::IndexMap,
 };
 
 /// Keeps other work away from upstreams on which a gang will fit once the single tasks there have ended. This is done
@@ -25,7 +25,7 @@
         return;
     }
     let one_rack = unit.step.same_rack && locality == Locality::Near;
-    let mut groups: IndexMap<&str, Vec<Candidate>> = IndexMap::new();
+    let mut groups: IndexMap<&str, Vec<Candidate>> = IndexMap::default();
     for position in place::candidates(unit, hosts, allowed, locality) {
         let host = &hosts[position];
         let candidate = Candidate {
--- a/crates/plan/src/headroom/reservation.rs
+++ b/crates/plan/src/headroom/reservation.rs
@@ -1,4 +1,4 @@
-use {super::Supply, crate::place::Host, indexmap::IndexMap};
+use {super::Supply, crate::place::Host, work::collections::IndexMap};
 
 /// Sets upstreams of a service aside for urgent work until this number of accelerators is free on them; none while the
 /// service is idle.
@@ -10,7 +10,7 @@
     if supply.is_idle() {
         return;
     }
-    let mut racks: IndexMap<&str, (i64, Vec<usize>)> = IndexMap::new();
+    let mut racks: IndexMap<&str, (i64, Vec<usize>)> = IndexMap::default();
     for (position, host) in hosts.iter().enumerate() {
         if host.upstream.service == service {
             let (other_work, members) = racks.entry(&host.upstream.rack).or_default();
--- a/crates/plan/src/learn/estimator.rs
+++ b/crates/plan/src/learn/estimator.rs
@@ -1,7 +1,6 @@
 use {
-    indexmap::IndexMap,
     std::time::Duration,
-    work::{job::Step, registry::Job},
+    work::{collections::IndexMap, job::Step, registry::Job},
 };
 
 /// Weight of a new observation in the learned ratio.
--- a/crates/plan/src/order/units.rs
+++ b/crates/plan/src/order/units.rs
@@ -1,9 +1,9 @@
 use {
     super::{Rank, Strategy, Unit},
     crate::{engine::Settings, learn::Estimator},
-    indexmap::{IndexMap, IndexSet},
     std::time::Duration,
     work::{
+        collections::{IndexMap, IndexSet},
         config::Queue,
         id,
         registry::{Job, Occurrence, Registry},
@@ -81,9 +81,9 @@
 /// Accounts whose open jobs of priority 0 need no more accelerators than the account is guaranteed.
 pub fn guaranteed_accounts(registry: &Registry) -> IndexSet<&str> {
     let Some(config) = registry.config() else {
-        return IndexSet::new();
+        return IndexSet::default();
     };
-    let mut needed: IndexMap<&str, i64> = IndexMap::new();
+    let mut needed: IndexMap<&str, i64> = IndexMap::default();
     for job in registry.open_jobs() {
         let urgent = registry
             .queue(&job.queue)
--- a/crates/plan/src/place/fit.rs
+++ b/crates/plan/src/place/fit.rs
@@ -1,7 +1,7 @@
 use {
     super::{Availability, Host},
     crate::order::Unit,
-    indexmap::IndexMap,
+    work::collections::IndexMap,
 };
 
 /// How close to its data and to each other the tasks of a unit must run.
@@ -29,7 +29,7 @@
     if locality == Locality::Far || !unit.step.same_rack {
         return best_fit(unit, hosts, &candidates, availability);
     }
-    let mut racks: IndexMap<&str, Vec<usize>> = IndexMap::new();
+    let mut racks: IndexMap<&str, Vec<usize>> = IndexMap::default();
     for position in candidates {
         racks
             .entry(&hosts[position].upstream.rack)
@@ -101,7 +101,7 @@
 /// Whether the unit would fit near its data and its other members if nothing else ran there.
 pub fn could_be_near(unit: &Unit<'_>, hosts: &[Host<'_>], allowed: &[bool]) -> bool {
     let needed = if unit.step.gang { unit.tasks.len() } else { 1 };
-    let mut racks: IndexMap<&str, usize> = IndexMap::new();
+    let mut racks: IndexMap<&str, usize> = IndexMap::default();
     for position in candidates(unit, hosts, allowed, Locality::Near) {
         let upstream = hosts[position].upstream;
         let one_rack = unit.step.gang && unit.step.same_rack;
--- a/crates/plan/src/reclaim/choose.rs
+++ b/crates/plan/src/reclaim/choose.rs
@@ -4,7 +4,7 @@
         order::Unit,
         place::{self, Availability, Host, Locality},
     },
-    indexmap::IndexMap,
+    work::collections::IndexMap,
 };
 
 /// Finds the victims to preempt for the unit, as positions in `victims`, and the upstreams of its tasks, as positions
@@ -20,7 +20,7 @@
     locality: Locality,
 ) -> Option<(Vec<usize>, Vec<usize>)> {
     let candidates = place::candidates(unit, hosts, allowed, locality);
-    let mut groups: IndexMap<&str, Vec<usize>> = IndexMap::new();
+    let mut groups: IndexMap<&str, Vec<usize>> = IndexMap::default();
     for position in candidates {
         let one_rack = unit.step.gang && unit.step.same_rack && locality == Locality::Near;
         let group = if one_rack {
--- a/crates/plan/tests/order.rs
+++ b/crates/plan/tests/order.rs
@@ -1,7 +1,6 @@
 //! The order in which ready work is considered, and how time and failures change its rank.
 
 use {
-    indexmap::IndexSet,
     plan::{
         engine::Settings,
         learn::{Estimator, Health},
@@ -9,6 +8,7 @@
     },
     std::time::{Duration, Instant},
     work::{
+        collections::IndexSet,
         config::{Account, Config, Queue, Service},
         id,
         job::{Definition, Repeat, Resources},
@@ -102,7 +102,7 @@
 }
 
 fn units_with<'a>(registry: &'a Registry, time_ms: u64, settings: &Settings) -> Vec<Unit<'a>> {
-    let taken = IndexSet::new();
+    let taken = IndexSet::default();
     order::ready_units(registry, &Estimator::default(), time_ms, settings, &taken)
 }
 
--- a/crates/work/src/lib.rs
+++ b/crates/work/src/lib.rs
@@ -4,6 +4,7 @@
 //! Everything here is deterministic and performs no I/O. [`registry::Registry`] applies [`registry::Command`]s, which the
 //! leader of the control group commits; the crate `plan` decides what runs where.
 
+pub mod collections;
 pub mod config;
 pub mod id;
 pub mod job;
--- a/crates/work/src/registry/apply.rs
+++ b/crates/work/src/registry/apply.rs
@@ -3,8 +3,7 @@
         Allocation, Answer, Command, Job, Occurrence, Placement, Registry, Run, State, Update,
         registry::Record,
     },
-    crate::{config::Config, id, job::Definition, upstream::Upstream},
-    indexmap::IndexMap,
+    crate::{collections::IndexMap, config::Config, id, job::Definition, upstream::Upstream},
 };
 
 impl Registry {
@@ -122,7 +121,7 @@
             ended_ms: None,
             state: State::Open,
             begun: false,
-            occurrences: IndexMap::new(),
+            occurrences: IndexMap::default(),
             finished: Vec::new(),
         };
         self.jobs.insert(id, job);
--- a/crates/work/src/registry/job.rs
+++ b/crates/work/src/registry/job.rs
@@ -1,10 +1,10 @@
 use {
     super::Occurrence,
     crate::{
+        collections::IndexMap,
         id,
         job::{Definition, Step},
     },
-    indexmap::IndexMap,
     serde::{Deserialize, Serialize},
     std::{fmt, sync::Arc},
 };
--- a/crates/work/src/registry/registry.rs
+++ b/crates/work/src/registry/registry.rs
@@ -1,12 +1,12 @@
 use {
     super::{Job, Occurrence, Run, State, StepProgress, TaskProgress},
     crate::{
+        collections::{IndexMap, IndexSet},
         config::{Config, Queue},
         id,
         job::{Resources, Step},
         upstream::Upstream,
     },
-    indexmap::{IndexMap, IndexSet},
     serde::{Deserialize, Serialize},
 };
 
@@ -171,8 +171,8 @@
 
     /// Rebuilds the fields that are not part of a snapshot.
     pub(super) fn rebuild_index(&mut self) {
-        self.open = IndexSet::new();
-        self.live = IndexMap::new();
+        self.open = IndexSet::default();
+        self.live = IndexMap::default();
         for job in self.jobs.values() {
             if job.state == State::Open {
                 self.open.insert(job.id);
