plan, work: examine what has changed instead of everything

The cause: each step of the engine compared all upstreams and runs with the registry if any command had been applied, checked all runs every 20 ms, looked at all upstreams for holds, and searched all runs for the one that an answer belongs to. At 1,100 upstreams that is 12,000 entries and 25 to 60 ms a step (event=leader_steps), with the registry locked, so that commits waited for up to 2.3 s.

The registry keeps its latest changes, and a step applies those since the last one. Answers find their run or upstream by call number, replaced upstreams by address, members of a gang by index. A check looks at a quarter of the runs, holds only at upstreams to which something has happened, and an answer to a hold asks for a planning round only if the upstream became usable or stopped being so. Runs of a job that ends are looked at with its end.

A committed run that the registry has lost again meanwhile is not started.

--- a/crates/dispatch/src/leader/step_times.rs
+++ b/crates/dispatch/src/leader/step_times.rs
@@ -37,10 +37,7 @@
             self.longest_round = self.longest_round.max(took);
         }
         self.oldest_event = self.oldest_event.max(event_age);
-        self.effort.synced += effort.synced;
-        self.effort.checked += effort.checked;
-        self.effort.rounds += effort.rounds;
-        self.effort.planned += effort.planned;
+        self.effort += effort;
     }
 
     /// Records the time from a proposal to its outcome.
--- a/crates/plan/src/engine/crash.rs
+++ b/crates/plan/src/engine/crash.rs
@@ -15,6 +15,8 @@
         let Some(upstream) = registry.upstream(id) else {
             return;
         };
+        let at_address = self.addresses.upstreams_at(&upstream.address);
+        let at_address = at_address.filter_map(|earlier| registry.upstream(earlier));
         // The start time is 0 where upstreams do not report it.
         let is_replaced = |earlier: &&Upstream| {
             earlier.address == upstream.address
@@ -22,7 +24,7 @@
                 && earlier.born_ms > 0
                 && earlier.born_ms < upstream.born_ms
         };
-        let replaced = registry.upstreams().filter(is_replaced);
+        let replaced = at_address.filter(is_replaced);
         let replaced: Vec<_> = replaced.map(|earlier| earlier.id.clone()).collect();
         for earlier in replaced {
             let Some(session) = self.sessions.get(&earlier).cloned() else {
@@ -59,11 +61,10 @@
         }
         let is_lost =
             |tracked: &TrackedRun| tracked.upstream == *id && tracked.born_ms == session.born_ms;
-        let lost: Vec<RunKey> = self
-            .tracked_runs
-            .iter()
-            .filter(|(_, tracked)| is_lost(tracked))
+        let lost: Vec<RunKey> = registry
+            .allocations_on(id)
             .map(|(key, _)| *key)
+            .filter(|key| self.tracked_runs.get(key).is_some_and(is_lost))
             .collect();
         log::warn!(
             "event=upstream_crashed upstream={id} born_ms={} runs={}",
--- a/crates/plan/src/engine/drain.rs
+++ b/crates/plan/src/engine/drain.rs
@@ -2,7 +2,7 @@
     super::{Engine, engine::RunKey, tracked_run::Phase},
     crate::learn,
     std::time::{Duration, Instant},
-    work::{collections::IndexMap, id, registry::Registry},
+    work::{collections::IndexMap, id, registry::Registry, upstream::Upstream},
 };
 
 /// An upstream often stays longer than announced, so a run without checkpoints is stopped only if its expected time
@@ -53,13 +53,22 @@
     pub(super) fn record_departures(&mut self, registry: &Registry) {
         self.departures
             .retain(|id, _| registry.upstream(id).is_some_and(|known| known.draining));
-        for upstream in registry.upstreams().filter(|upstream| upstream.draining) {
-            let left = upstream.leaving_ms.map(Duration::from_millis);
-            let at = left.map(|left| self.now + left);
-            self.departures.entry(upstream.id.clone()).or_insert(at);
+        for upstream in registry.upstreams() {
+            self.record_departure(upstream);
         }
     }
 
+    /// Records the departure time of an upstream if it has begun to drain.
+    pub(super) fn record_departure(&mut self, upstream: &Upstream) {
+        if !upstream.draining {
+            self.departures.shift_remove(&upstream.id);
+            return;
+        }
+        let left = upstream.leaving_ms.map(Duration::from_millis);
+        let at = left.map(|left| self.now + left);
+        self.departures.entry(upstream.id.clone()).or_insert(at);
+    }
+
     /// Sets the departure time of upstreams that drain already to unknown, since a new leader does not know when their
     /// drain began. Their runs go on.
     pub(super) fn ignore_current_drains(&mut self, registry: &Registry) {
--- a/crates/plan/src/engine/effort.rs
+++ b/crates/plan/src/engine/effort.rs
@@ -1,3 +1,5 @@
+use std::ops::AddAssign;
+
 /// Number of entries that the engine has examined, by activity. It tells what steps cost without a clock.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Effort {
@@ -11,6 +13,15 @@
     pub planned: u64,
 }
 
+impl AddAssign for Effort {
+    fn add_assign(&mut self, other: Effort) {
+        self.synced += other.synced;
+        self.checked += other.checked;
+        self.rounds += other.rounds;
+        self.planned += other.planned;
+    }
+}
+
 impl Effort {
     /// All entries examined.
     pub fn total(&self) -> u64 {
--- a/crates/plan/src/engine/engine.rs
+++ b/crates/plan/src/engine/engine.rs
@@ -1,10 +1,7 @@
 use {
     super::{
-        Effect, Effort, Event, Failure, Refusal, Settings, Target,
-        advice::Advice,
-        drain::Departures,
-        session::Session,
-        tracked_run::{Phase, TrackedRun},
+        Effect, Effort, Event, Failure, Refusal, Settings, Target, addresses::Addresses,
+        advice::Advice, drain::Departures, session::Session, tracked_run::TrackedRun,
     },
     crate::{
         headroom::Headroom,
@@ -12,7 +9,7 @@
     },
     std::time::{Duration, Instant},
     work::{
-        collections::{IndexMap, IndexSet},
+        collections::IndexMap,
         id,
         registry::{Blame, Placement, Registry, Update, Void},
     },
@@ -21,12 +18,16 @@
 /// Minimum interval between two checks of all runs.
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Minimum interval between two planning rounds; a commit takes about as long.
+/// Minimum interval between two planning rounds; a commit takes about as long. Longer if rounds take long.
 const PLAN_INTERVAL_MIN: Duration = Duration::from_millis(20);
 
 /// Maximum interval between two planning rounds. Waiting jobs become urgent without any event.
 const PLAN_INTERVAL_MAX: Duration = Duration::from_millis(200);
 
+/// Minimum interval between two planning rounds, as a multiple of the time that a round takes. Calls, heartbeats and
+/// commits wait while a round runs.
+const ROUND_INTERVAL_FACTOR: u32 = 3;
+
 /// Interval between two removals of ended jobs.
 const EXPIRE_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -38,7 +39,7 @@
 const FORGET_SILENT_AFTER: Duration = Duration::from_secs(60);
 
 /// Time for which an unanswered start may still be carried out. The limit that the platform documents is 12 s.
-const LATE_START_LIMIT: Duration = Duration::from_secs(15);
+pub(super) const LATE_START_LIMIT: Duration = Duration::from_secs(15);
 
 /// An unanswered start whose run was given up, but which the upstream may still carry out.
 #[derive(Clone, Debug)]
@@ -55,9 +56,14 @@
 pub struct Engine {
     pub(super) settings: Settings,
     pub(super) sessions: IndexMap<id::Upstream, Session>,
+    pub(super) addresses: Addresses,
     pub(super) tracked_runs: IndexMap<RunKey, TrackedRun>,
-    /// Jobs that were open when the registry was last examined.
-    open_jobs: IndexSet<id::Job>,
+    /// Upstreams of the holds that have no answer yet, by call.
+    pub(super) hold_calls: IndexMap<u64, id::Upstream>,
+    /// Runs of the starts that have no answer yet, by call.
+    pub(super) start_calls: IndexMap<u64, RunKey>,
+    /// Runs of the stops that have no answer yet, by call.
+    pub(super) stop_calls: IndexMap<u64, RunKey>,
     /// Unanswered starts whose runs were given up.
     pub(super) unresolved_starts: IndexMap<RunKey, UnresolvedStart>,
     /// Placements in proposals without a known outcome, by proposal.
@@ -81,10 +87,13 @@
     term_start: Instant,
     /// Number of the latest call or proposal.
     last_number: u64,
-    seen_revision: Option<u64>,
-    plan_needed: bool,
+    /// Revision of the registry with which sessions and runs were last compared; none before the first time.
+    pub(super) seen_revision: Option<u64>,
+    pub(super) plan_needed: bool,
     next_plan: Instant,
     next_check: Instant,
+    /// Position of the run that is checked next.
+    pub(super) next_checked: usize,
     next_expire: Instant,
     pub(super) next_report: Instant,
     pub(super) departures: Departures,
@@ -100,9 +109,12 @@
         Engine {
             settings,
             sessions: IndexMap::default(),
+            addresses: Addresses::default(),
             tracked_runs: IndexMap::default(),
+            hold_calls: IndexMap::default(),
+            start_calls: IndexMap::default(),
+            stop_calls: IndexMap::default(),
             unresolved_starts: IndexMap::default(),
-            open_jobs: IndexSet::default(),
             proposed_placements: IndexMap::default(),
             proposed_voids: IndexMap::default(),
             proposed_ends: IndexMap::default(),
@@ -121,6 +133,7 @@
             plan_needed: true,
             next_plan: now,
             next_check: now,
+            next_checked: 0,
             next_expire: now + EXPIRE_INTERVAL,
             next_report: now,
             departures: Departures::default(),
@@ -168,7 +181,7 @@
             Event::ProposalCommitted { proposal, runs } => {
                 self.on_proposal_committed(proposal, &runs, registry)
             }
-            Event::ProposalFailed { proposal } => self.finish_proposal(proposal),
+            Event::ProposalFailed { proposal } => self.finish_proposal(registry, proposal),
         }
     }
 
@@ -180,6 +193,12 @@
             .count()
     }
 
+    /// Tells how long the latest planning round took, so that rounds leave time for other work.
+    pub fn record_round(&mut self, took: Duration) {
+        let interval = PLAN_INTERVAL_MIN.max(took * ROUND_INTERVAL_FACTOR);
+        self.next_plan = self.next_plan.max(self.now + interval);
+    }
+
     /// Entries examined since the previous call.
     pub fn take_effort(&mut self) -> Effort {
         std::mem::take(&mut self.effort)
@@ -206,110 +225,13 @@
         self.plan_needed = true;
     }
 
-    /// Brings sessions and tracked runs in line with the registry.
-    fn sync_with_registry(&mut self, registry: &Registry) {
-        if self.seen_revision == Some(registry.revision()) {
-            return;
-        }
-        self.log_ended_jobs(registry);
-        let first = self.seen_revision.is_none();
-        self.seen_revision = Some(registry.revision());
-        self.plan_needed = true;
-        for upstream in registry.upstreams() {
-            self.effort.synced += 1;
-            let known = self.sessions.get(&upstream.id);
-            if known.is_none_or(|session| session.born_ms != upstream.born_ms) {
-                if let Some(earlier) = known.cloned() {
-                    self.record_crash(registry, &upstream.id, &earlier);
-                }
-                let session = Session::new(upstream.born_ms, self.now, &self.settings);
-                self.sessions.insert(upstream.id.clone(), session);
-                self.health.shift_remove(&upstream.id);
-                self.reset_stops(&upstream.id);
-            }
-            if let Some(session) = self.sessions.get_mut(&upstream.id) {
-                session.draining = upstream.draining;
-            }
-        }
-        self.sessions
-            .retain(|id, _| registry.upstream(id).is_some());
-        if first {
-            self.ignore_current_drains(registry);
-        } else {
-            self.record_departures(registry);
-        }
-        let ended = |(task, run): &RunKey| registry.run(task, *run).is_none();
-        let dropped = self.tracked_runs.extract_if(.., |key, _| ended(key));
-        for (key, tracked) in dropped.collect::<Vec<_>>() {
-            self.record_unresolved_start(key, &tracked);
-        }
-        for (upstream, key, live) in registry.allocations() {
-            self.effort.synced += 1;
-            let is_proposed = || {
-                let mut placements = self.proposed_placements.values().flatten();
-                !first && placements.any(|placement| placement.task == key.0)
-            };
-            if !self.tracked_runs.contains_key(key) && !is_proposed() {
-                let phase = Phase::Inherited;
-                let tracked = TrackedRun::new(
-                    upstream.clone(),
-                    live.born_ms,
-                    live.resources,
-                    phase,
-                    self.now,
-                );
-                self.tracked_runs.insert(*key, tracked);
-            } else if let Some(tracked) = self.tracked_runs.get_mut(key) {
-                tracked.born_ms = live.born_ms;
-            }
-        }
-    }
-
-    fn log_ended_jobs(&mut self, registry: &Registry) {
-        let open_jobs: IndexSet<id::Job> = registry.open_jobs().map(|job| job.id).collect();
-        for job in self
-            .open_jobs
-            .difference(&open_jobs)
-            .filter_map(|id| registry.job(*id))
-        {
-            let ended_ms = job.ended_ms.unwrap_or(self.time_ms);
-            log::info!(
-                "event=job_ended job={} state={} took_ms={} lost_upstreams={}",
-                job.id,
-                job.state,
-                ended_ms.saturating_sub(job.accepted_ms),
-                job.lost_upstreams()
-            );
-        }
-        self.open_jobs = open_jobs;
-    }
-
-    /// Records a run that is over if a start of it may still be carried out.
-    fn record_unresolved_start(&mut self, key: RunKey, tracked: &TrackedRun) {
-        if tracked.has_unanswered_start {
-            let unresolved = UnresolvedStart {
-                upstream: tracked.upstream.clone(),
-                until: self.now + LATE_START_LIMIT,
-            };
-            self.unresolved_starts.insert(key, unresolved);
-        }
-    }
-
-    /// Discards the stops sent to an upstream that has restarted, so that they are ordered again where needed: its new
-    /// incarnation does not know the stops that the earlier one confirmed.
-    fn reset_stops(&mut self, upstream: &id::Upstream) {
-        let tracked_runs = self.tracked_runs.values_mut();
-        for tracked in tracked_runs.filter(|tracked| tracked.upstream == *upstream) {
-            tracked.stopping = None;
-        }
-    }
-
     fn on_heartbeat(&mut self, upstream: &id::Upstream, born_ms: u64, clock_ms: Option<u64>) {
         let now = self.now;
         if let Some(session) = self.sessions.get_mut(upstream)
             && session.born_ms == born_ms
         {
             session.last_heard = now;
+            session.may_need_hold = true;
             if let Some(clock_ms) = clock_ms {
                 session.set_clock(clock_ms, now);
             }
@@ -425,13 +347,18 @@
     }
 
     /// Forgets a proposal whose outcome is known or will never be.
-    pub(super) fn finish_proposal(&mut self, proposal: u64) {
-        self.proposed_placements.shift_remove(&proposal);
+    pub(super) fn finish_proposal(&mut self, registry: &Registry, proposal: u64) {
+        let placements = self.proposed_placements.shift_remove(&proposal);
         self.proposed_voids.shift_remove(&proposal);
+        // The proposal may have been committed although its outcome is unknown here.
+        for placement in placements.into_iter().flatten() {
+            self.track_live_runs(registry, &placement.task);
+        }
         if let Some(upstream) = self.proposed_ends.shift_remove(&proposal)
             && let Some(session) = self.sessions.get_mut(&upstream)
         {
             // The ends are proposed again when the upstream reports them again.
+            session.may_need_hold = true;
             session.proposed_end = 0;
         }
         self.plan_needed = true;
--- a/crates/plan/src/engine/hold.rs
+++ b/crates/plan/src/engine/hold.rs
@@ -28,12 +28,14 @@
         let due: Vec<id::Upstream> = self
             .sessions
             .iter()
-            .filter(|(_, session)| session.pending_hold.is_none() && now >= session.next_hold)
+            .filter(|(_, session)| session.is_hold_due(now))
             .map(|(id, _)| id.clone())
             .collect();
         for id in due {
             if let Some(wait) = self.hold_wait(registry, &id) {
                 self.send_hold(registry, &id, wait);
+            } else if let Some(session) = self.sessions.get_mut(&id) {
+                session.may_need_hold = false;
             }
         }
     }
@@ -92,6 +94,7 @@
             last_end,
             wait: if is_reachable { wait } else { Duration::ZERO },
         };
+        self.hold_calls.insert(call, id.clone());
         self.effects.push(Effect::Hold {
             call,
             target,
@@ -107,13 +110,14 @@
         registry: &Registry,
     ) {
         let now = self.now;
-        let found = self.sessions.iter_mut().find_map(|(id, session)| {
-            let pending = session
-                .pending_hold
-                .take_if(|pending| pending.call == call)?;
-            Some((id.clone(), pending))
+        let Some(id) = self.hold_calls.swap_remove(&call) else {
+            return;
+        };
+        let pending = self.sessions.get_mut(&id).and_then(|session| {
+            let pending_hold = &mut session.pending_hold;
+            pending_hold.take_if(|pending| pending.call == call)
         });
-        let Some((id, pending)) = found else {
+        let Some(pending) = pending else {
             return;
         };
         match answer {
@@ -155,6 +159,7 @@
             session.record_failure(now);
             return;
         }
+        let was_usable = session.is_usable(now, &self.settings);
         if session.failures > 0 || !session.contacted {
             log::info!(
                 "event=upstream_met upstream={id} born_ms={} running={} ended={} failures={}",
@@ -206,7 +211,11 @@
             &running.keys().copied().collect::<Vec<_>>(),
             &listing.ended,
         );
-        self.request_plan();
+        let session = self.sessions.get(id);
+        // What else the answer tells reaches the plan with the commits that follow from it.
+        if session.is_some_and(|session| session.is_usable(now, &self.settings)) != was_usable {
+            self.request_plan();
+        }
     }
 
     /// Stops runs whose unanswered starts were given up, in case a start reaches this incarnation of the upstream.
--- a/crates/plan/src/engine/mod.rs
+++ b/crates/plan/src/engine/mod.rs
@@ -1,5 +1,6 @@
 //! The scheduling engine of the leader: the state of upstreams and runs, and the orders that follow from it.
 
+mod addresses;
 mod advice;
 mod crash;
 mod drain;
@@ -14,6 +15,7 @@
 mod runs;
 mod session;
 mod settings;
+mod sync;
 mod tracked_run;
 
 pub use {
--- a/crates/plan/src/engine/runs.rs
+++ b/crates/plan/src/engine/runs.rs
@@ -28,6 +28,12 @@
 /// Progress is reported in whole percent, so a long run goes without any for longer.
 const STALL_ESTIMATE_PERCENT: u32 = 12;
 
+/// Number of checks in which all runs are checked once, so that a check of many runs does not delay other work.
+const CHECK_PARTS: usize = 4;
+
+/// Minimum number of runs in one check.
+const MIN_CHECKED: usize = 512;
+
 /// Starts and stops of runs.
 impl Engine {
     /// Handles the commit of a proposal and starts the runs that it began.
@@ -46,6 +52,7 @@
             && let Some(session) = self.sessions.get_mut(&upstream)
         {
             session.next_hold = self.now;
+            session.may_need_hold = true;
         }
         self.request_plan();
         for (placement, (task, run)) in placements.into_iter().zip(runs) {
@@ -61,6 +68,10 @@
 
     fn begin_run(&mut self, registry: &Registry, placement: &Placement, run: u32) {
         let key = (placement.task, run);
+        // It is gone if its upstream was removed or it was voided after the commit.
+        if registry.run(&placement.task, run).is_none() {
+            return;
+        }
         let Some(step) = registry.step(&placement.task) else {
             return;
         };
@@ -110,6 +121,7 @@
             return;
         };
         tracked.phase = Phase::Sending { call };
+        self.start_calls.insert(call, key);
         tracked.start_attempts += 1;
         let order = Start {
             task,
@@ -140,14 +152,16 @@
         registry: &Registry,
     ) {
         let now = self.now;
-        let Some((key, tracked)) = self
+        let Some(key) = self.start_calls.swap_remove(&call) else {
+            return;
+        };
+        let Some(tracked) = self
             .tracked_runs
-            .iter_mut()
-            .find(|(_, tracked)| tracked.phase == Phase::Sending { call })
+            .get_mut(&key)
+            .filter(|tracked| tracked.phase == Phase::Sending { call })
         else {
             return;
         };
-        let key = *key;
         let upstream = tracked.upstream.clone();
         match answer {
             Ok(clock_ms) => {
@@ -192,11 +206,12 @@
     /// Handles the answer to a stop.
     pub(super) fn on_stop_answer(&mut self, call: u64, answer: Result<Option<u64>, Failure>) {
         let now = self.now;
-        let found = self.tracked_runs.values_mut().find_map(|tracked| {
-            let stop = tracked.stopping.as_mut()?;
-            (stop.call == Some(call)).then_some(stop)
-        });
-        let Some(stop) = found else {
+        let Some(key) = self.stop_calls.swap_remove(&call) else {
+            return;
+        };
+        let tracked = self.tracked_runs.get_mut(&key);
+        let stop = tracked.and_then(|tracked| tracked.stopping.as_mut());
+        let Some(stop) = stop.filter(|stop| stop.call == Some(call)) else {
             return;
         };
         stop.call = None;
@@ -233,7 +248,7 @@
         if !registry.step(&key.0).is_some_and(|step| step.gang) {
             return;
         }
-        for member in self.gang_members(key) {
+        for member in self.gang_members(registry, key) {
             if member != key {
                 self.stop(member, reason);
             }
@@ -241,9 +256,12 @@
     }
 
     /// Tracked members of a gang's run, including the given one.
-    pub(super) fn gang_members(&self, key: RunKey) -> Vec<RunKey> {
-        let same = |other: &&RunKey| other.1 == key.1 && other.0.is_same_step(&key.0);
-        self.tracked_runs.keys().filter(same).copied().collect()
+    pub(super) fn gang_members(&self, registry: &Registry, key: RunKey) -> Vec<RunKey> {
+        let count = registry.step(&key.0).map_or(0, |step| step.count);
+        let members = (0..count).map(|index| (id::Task { index, ..key.0 }, key.1));
+        members
+            .filter(|member| self.tracked_runs.contains_key(member))
+            .collect()
     }
 
     /// Sends a stop and returns the number of its call. Used directly for runs that the registry does not have.
@@ -267,9 +285,18 @@
         Some(call)
     }
 
-    /// Checks all runs for expired leases, unanswered orders, missing progress, and whether they are still needed.
+    /// Checks the next part of the runs for expired leases, unanswered orders, missing progress, and whether they are
+    /// still needed.
     pub(super) fn check_runs(&mut self, registry: &Registry) {
-        let keys: Vec<RunKey> = self.tracked_runs.keys().copied().collect();
+        let count = self.tracked_runs.len();
+        let first = match self.next_checked < count {
+            true => self.next_checked,
+            false => 0,
+        };
+        let part = count.div_ceil(CHECK_PARTS).max(MIN_CHECKED);
+        self.next_checked = first + part;
+        let keys = self.tracked_runs.keys().skip(first).take(part);
+        let keys: Vec<RunKey> = keys.copied().collect();
         self.effort.checked += keys.len() as u64;
         for key in keys {
             self.check_lease(key);
@@ -296,7 +323,7 @@
     }
 
     /// Stops runs of jobs that have ended and of tasks that are done.
-    fn check_need(&mut self, registry: &Registry, key: RunKey) {
+    pub(super) fn check_need(&mut self, registry: &Registry, key: RunKey) {
         let now = self.now;
         let state = registry.job(key.0.job).map(|job| job.state);
         let done = registry.task(&key.0).is_some_and(|task| task.done);
@@ -396,6 +423,9 @@
         }
         let upstream = tracked.upstream.clone();
         let call = self.send_stop(registry, &upstream, key);
+        if let Some(call) = call {
+            self.stop_calls.insert(call, key);
+        }
         if let Some(stop) = self
             .tracked_runs
             .get_mut(&key)
--- a/crates/plan/src/engine/session.rs
+++ b/crates/plan/src/engine/session.rs
@@ -46,6 +46,8 @@
     pub contacted: bool,
     pub pending_hold: Option<PendingHold>,
     pub next_hold: Instant,
+    /// Whether anything has happened since it was last found to need no hold.
+    pub may_need_hold: bool,
     /// Time after which every lease given by this or an earlier leader has expired.
     pub lease_end: Instant,
     /// Number of consecutive failed holds.
@@ -71,6 +73,7 @@
             contacted: false,
             pending_hold: None,
             next_hold: now,
+            may_need_hold: true,
             lease_end: now + expired_after(settings.max_lease),
             failures: 0,
             failed_at: now,
@@ -117,16 +120,23 @@
     pub fn record_answer(&mut self, now: Instant) {
         self.last_heard = now;
         self.failures = 0;
+        self.may_need_hold = true;
     }
 
     /// Records a failed hold and delays the next one, longer with each failure.
     pub fn record_failure(&mut self, now: Instant) {
         self.failures += 1;
+        self.may_need_hold = true;
         self.failed_at = now;
         let pause = RETRY_DELAY_MIN * (1 << self.failures.min(4)) / 2;
         self.next_hold = now + pause.min(RETRY_DELAY_MAX);
     }
 
+    /// Whether a hold may be sent now, should the upstream need one.
+    pub fn is_hold_due(&self, now: Instant) -> bool {
+        self.may_need_hold && self.pending_hold.is_none() && now >= self.next_hold
+    }
+
     /// Whether a hold has to find out if the upstream can be reached: it has never answered, or it has sent a heartbeat
     /// since the latest failed hold.
     pub fn needs_contact(&self) -> bool {
--- /dev/null
+++ b/crates/plan/src/engine/sync.rs
@@ -0,0 +1,192 @@
+use {
+    super::{
+        Engine,
+        engine::{LATE_START_LIMIT, RunKey, UnresolvedStart},
+        session::Session,
+        tracked_run::{Phase, TrackedRun},
+    },
+    work::{
+        collections::IndexSet,
+        id,
+        registry::{Change, Registry, State},
+        upstream::Upstream,
+    },
+};
+
+/// Comparison of sessions and tracked runs with the registry.
+impl Engine {
+    /// Brings sessions and tracked runs in line with the registry. Examines only what has changed, if that is known.
+    pub(super) fn sync_with_registry(&mut self, registry: &Registry) {
+        let seen = self.seen_revision.replace(registry.revision());
+        if seen == Some(registry.revision()) {
+            return;
+        }
+        self.plan_needed = true;
+        match seen.and_then(|seen| registry.changes_since(seen)) {
+            Some(changes) => self.apply_changes(registry, changes),
+            None => self.sync_all(registry, seen.is_none()),
+        }
+    }
+
+    fn apply_changes<'a>(
+        &mut self,
+        registry: &Registry,
+        changes: impl Iterator<Item = &'a Change>,
+    ) {
+        let mut upstreams: IndexSet<&id::Upstream> = IndexSet::default();
+        let mut runs: IndexSet<RunKey> = IndexSet::default();
+        let mut ended_jobs = Vec::new();
+        for change in changes {
+            self.effort.synced += 1;
+            match change {
+                Change::Upstream(id) => drop(upstreams.insert(id)),
+                Change::Run {
+                    task,
+                    run,
+                    upstream,
+                } => {
+                    runs.insert((*task, *run));
+                    if let Some(session) = self.sessions.get_mut(upstream) {
+                        session.may_need_hold = true;
+                    }
+                }
+                Change::JobEnded(id, state) => {
+                    self.log_ended_job(registry, *id, *state);
+                    ended_jobs.push(*id);
+                }
+            }
+        }
+        for id in upstreams {
+            match registry.upstream(id) {
+                Some(upstream) => {
+                    self.sync_upstream(registry, upstream);
+                    self.record_departure(upstream);
+                }
+                None => {
+                    self.sessions.shift_remove(id);
+                    self.addresses.remove(id);
+                    self.departures.shift_remove(id);
+                }
+            }
+        }
+        for key in runs {
+            self.sync_run(registry, key);
+        }
+        for job in ended_jobs.into_iter().filter_map(|id| registry.job(id)) {
+            for (task, run, _) in job.live_runs() {
+                self.check_need(registry, (task, run.number));
+            }
+        }
+    }
+
+    fn sync_all(&mut self, registry: &Registry, first: bool) {
+        for upstream in registry.upstreams() {
+            self.effort.synced += 1;
+            self.sync_upstream(registry, upstream);
+        }
+        let is_gone = |id: &id::Upstream| registry.upstream(id).is_none();
+        let gone = self.sessions.extract_if(.., |id, _| is_gone(id));
+        for (id, _) in gone.collect::<Vec<_>>() {
+            self.addresses.remove(&id);
+        }
+        if first {
+            self.ignore_current_drains(registry);
+        } else {
+            self.record_departures(registry);
+        }
+        let mut runs: IndexSet<RunKey> = self.tracked_runs.keys().copied().collect();
+        runs.extend(registry.allocations().map(|(_, key, _)| *key));
+        for key in runs {
+            self.effort.synced += 1;
+            self.sync_run(registry, key);
+        }
+    }
+
+    fn sync_upstream(&mut self, registry: &Registry, upstream: &Upstream) {
+        self.addresses.set(&upstream.id, &upstream.address);
+        let known = self.sessions.get(&upstream.id);
+        if known.is_none_or(|session| session.born_ms != upstream.born_ms) {
+            if let Some(earlier) = known.cloned() {
+                self.record_crash(registry, &upstream.id, &earlier);
+            }
+            let session = Session::new(upstream.born_ms, self.now, &self.settings);
+            self.sessions.insert(upstream.id.clone(), session);
+            self.health.shift_remove(&upstream.id);
+            self.reset_stops(registry, &upstream.id);
+        }
+        if let Some(session) = self.sessions.get_mut(&upstream.id) {
+            session.draining = upstream.draining;
+        }
+    }
+
+    /// Drops a tracked run that the registry does not have any more, or tracks one that an earlier leader assigned.
+    fn sync_run(&mut self, registry: &Registry, key: RunKey) {
+        let Some(run) = registry.run(&key.0, key.1) else {
+            if let Some(tracked) = self.tracked_runs.swap_remove(&key) {
+                self.record_unresolved_start(key, &tracked);
+            }
+            return;
+        };
+        if let Some(tracked) = self.tracked_runs.get_mut(&key) {
+            tracked.born_ms = run.born_ms;
+            return;
+        }
+        let mut placements = self.proposed_placements.values().flatten();
+        // The commit of the proposal begins the run.
+        if placements.any(|placement| placement.task == key.0) {
+            return;
+        }
+        let Some(step) = registry.step(&key.0) else {
+            return;
+        };
+        let tracked = TrackedRun::new(
+            run.upstream.clone(),
+            run.born_ms,
+            step.reserved(),
+            Phase::Inherited,
+            self.now,
+        );
+        self.tracked_runs.insert(key, tracked);
+    }
+
+    /// Tracks the runs of a task that are not tracked yet.
+    pub(super) fn track_live_runs(&mut self, registry: &Registry, task: &id::Task) {
+        let live = registry.task(task).into_iter().flat_map(|task| &task.live);
+        for number in live.map(|run| run.number).collect::<Vec<_>>() {
+            self.sync_run(registry, (*task, number));
+        }
+    }
+
+    fn log_ended_job(&self, registry: &Registry, id: id::Job, state: State) {
+        let Some(job) = registry.job(id) else {
+            return;
+        };
+        let ended_ms = job.ended_ms.unwrap_or(self.time_ms);
+        log::info!(
+            "event=job_ended job={id} state={state} took_ms={} lost_upstreams={}",
+            ended_ms.saturating_sub(job.accepted_ms),
+            job.lost_upstreams()
+        );
+    }
+
+    /// Records a run that is over if a start of it may still be carried out.
+    fn record_unresolved_start(&mut self, key: RunKey, tracked: &TrackedRun) {
+        if tracked.has_unanswered_start {
+            let unresolved = UnresolvedStart {
+                upstream: tracked.upstream.clone(),
+                until: self.now + LATE_START_LIMIT,
+            };
+            self.unresolved_starts.insert(key, unresolved);
+        }
+    }
+
+    /// Discards the stops sent to an upstream that has restarted, so that they are ordered again where needed: its new
+    /// incarnation does not know the stops that the earlier one confirmed.
+    fn reset_stops(&mut self, registry: &Registry, upstream: &id::Upstream) {
+        for (key, _) in registry.allocations_on(upstream) {
+            if let Some(tracked) = self.tracked_runs.get_mut(key) {
+                tracked.stopping = None;
+            }
+        }
+    }
+}
--- a/crates/work/src/registry/apply.rs
+++ b/crates/work/src/registry/apply.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        Allocation, Answer, Command, Job, Occurrence, Placement, Registry, Run, State, Update,
-        registry::Record,
+        Allocation, Answer, Change, Command, Job, Occurrence, Placement, Registry, Run, State,
+        Update, registry::Record,
     },
     crate::{collections::IndexMap, config::Config, id, job::Definition, upstream::Upstream},
 };
@@ -9,7 +9,7 @@
 impl Registry {
     /// Applies a committed command. Deterministic: all replicas get the same result.
     pub fn apply(&mut self, command: Command) -> Answer {
-        self.changes += 1;
+        self.revision += 1;
         match command {
             Command::Configure { at_ms, config } => {
                 self.advance_clock(at_ms);
@@ -138,12 +138,14 @@
             job.state = state;
             job.ended_ms = Some(time_ms);
             self.open.shift_remove(&id);
+            self.record_change(Change::JobEnded(id, state));
         }
     }
 
     /// Adds or updates an upstream, unless a later incarnation of it is known. An incarnation that drains never takes
     /// work again.
     fn register(&mut self, mut upstream: Upstream) {
+        self.record_change(Change::Upstream(upstream.id.clone()));
         let record = self.upstreams.get_mut(&upstream.id);
         match record {
             Some(record) if record.upstream.born_ms > upstream.born_ms => {}
@@ -166,6 +168,7 @@
             return;
         }
         self.upstreams.shift_remove(id);
+        self.record_change(Change::Upstream(id.clone()));
         let runs: Vec<_> = self.allocations_on(id).map(|(run, _)| *run).collect();
         for (task, run) in runs {
             self.remove_run(&task, run);
@@ -289,6 +292,11 @@
         };
         let runs = self.live.entry(placement.upstream.clone()).or_default();
         runs.insert((task, number), allocation);
+        self.record_change(Change::Run {
+            task,
+            run: number,
+            upstream: placement.upstream.clone(),
+        });
         Some(number)
     }
 
@@ -303,6 +311,11 @@
                 self.live.swap_remove(&run.upstream);
             }
         }
+        self.record_change(Change::Run {
+            task: *task,
+            run: number,
+            upstream: run.upstream.clone(),
+        });
         Some(run)
     }
 
--- a/crates/work/src/registry/mod.rs
+++ b/crates/work/src/registry/mod.rs
@@ -1,6 +1,7 @@
 //! Replicated state machine: configuration, jobs, runs and upstreams.
 
 mod apply;
+mod changes;
 mod command;
 mod ends;
 mod job;
@@ -9,6 +10,7 @@
 mod registry;
 
 pub use {
+    changes::Change,
     command::{Answer, Blame, Command, Placement, Update, Void},
     job::{Job, State},
     losses::Losses,
--- a/crates/work/src/registry/registry.rs
+++ b/crates/work/src/registry/registry.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Job, Occurrence, Run, State, StepProgress, TaskProgress},
+    super::{Change, Job, Occurrence, Run, State, StepProgress, TaskProgress, changes::Changes},
     crate::{
         collections::{IndexMap, IndexSet},
         config::{Config, Queue},
@@ -29,7 +29,9 @@
     pub(super) live: IndexMap<id::Upstream, IndexMap<(id::Task, u32), Allocation>>,
     /// Number of commands applied since the process started or loaded a snapshot.
     #[serde(skip)]
-    pub(super) changes: u64,
+    pub(super) revision: u64,
+    #[serde(skip)]
+    pub(super) changes: Changes,
 }
 
 /// An upstream and the number of its last recorded end.
@@ -108,10 +110,26 @@
         })
     }
 
+    /// Runs that may still be running with their allocations, by upstream.
+    pub fn live_runs(
+        &self,
+    ) -> impl Iterator<Item = (&id::Upstream, &IndexMap<(id::Task, u32), Allocation>)> {
+        self.live.iter()
+    }
+
     /// Number of commands applied since the process started or loaded a snapshot; changes whenever the registry
     /// may have changed.
     pub fn revision(&self) -> u64 {
-        self.changes
+        self.revision
+    }
+
+    /// What has changed of runs, upstreams and jobs since a revision, oldest first; none if that is not known any more.
+    pub fn changes_since(&self, revision: u64) -> Option<impl Iterator<Item = &Change>> {
+        self.changes.since(revision)
+    }
+
+    pub(super) fn record_change(&mut self, change: Change) {
+        self.changes.record(self.revision, change);
     }
 
     /// The step that a task belongs to.
