plan: examine upstreams once for each kind of unit, and leave time between rounds

The longest round took 155 ms.

A round remembers which shapes of units did not fit: what is free only shrinks while it runs, so the same shape with as many tasks fits no more. Single tasks of a unit are placed in one pass. Victims are gathered once for each kind of claim, and indexed by host; slots are updated for the hosts that change. Usage is counted with one lookup of the job for each run.

sim: the leader's processor time can be charged, and commits wait for a step as they do for the lock of the registry.

--- a/crates/dispatch/src/leader/driver.rs
+++ b/crates/dispatch/src/leader/driver.rs
@@ -115,7 +115,11 @@
         let took = self.clock.now().saturating_duration_since(now);
         self.observer.record_step(took, event_age);
         let mut step_times = times.lock().unwrap_or_else(PoisonError::into_inner);
-        step_times.record_step(took, event_age, event_count, engine.take_effort());
+        let effort = engine.take_effort();
+        if effort.rounds > 0 {
+            engine.record_round(took);
+        }
+        step_times.record_step(took, event_age, event_count, effort);
         step_times.report(now);
         drop(step_times);
         for effect in effects {
--- a/crates/plan/src/engine/planning.rs
+++ b/crates/plan/src/engine/planning.rs
@@ -3,13 +3,14 @@
     crate::{
         headroom::{self, Headroom, Supply},
         order::{self, Rank, Unit},
-        place::{self, Availability, Host, Locality},
+        place::{self, Attempts, Availability, Host, Locality},
         reclaim::{self, Victim},
     },
     work::{
         collections::{IndexMap, IndexSet},
+        config::Queue,
         id,
-        job::Resources,
+        job::{Resources, Step},
         registry::{Placement, Registry, Update},
     },
 };
@@ -38,9 +39,9 @@
     registry: &'a Registry,
     pub(super) hosts: Vec<Host<'a>>,
     /// Positions in `hosts`, by upstream.
-    positions: IndexMap<id::Upstream, usize>,
+    positions: IndexMap<&'a id::Upstream, usize>,
     /// Whether a service counts as idle, by service.
-    idle: IndexMap<String, bool>,
+    idle: IndexMap<&'a str, bool>,
     /// Number of tasks assigned so far.
     assigned: usize,
     /// Number of units for which victims were searched so far.
@@ -51,25 +52,56 @@
     urgent_usage: IndexMap<&'a str, Resources>,
     /// Accelerators, by service.
     pub(super) supply: IndexMap<&'a str, Supply>,
+    /// Placements that failed.
+    attempts: Attempts<'a>,
+    /// Running work that may be preempted, by the kind of work for which it may.
+    victims: IndexMap<Claim<'a>, Vec<Victim>>,
 }
 
-impl Round<'_> {
-    /// Adds the resources of a run to the urgent usage of its service, or to the other work of its upstream.
-    fn count_usage(&mut self, task: &id::Task, upstream: &id::Upstream, resources: Resources) {
-        let queue = self
-            .registry
-            .job(task.job)
-            .and_then(|job| self.registry.queue(&job.queue));
-        if let Some(queue) = queue.filter(|queue| queue.priority == 0) {
-            *self.urgent_usage.entry(&queue.service).or_default() += resources;
-        } else if let Some(position) = self.positions.get(upstream) {
-            let host = &mut self.hosts[*position];
+/// What decides which running work may be preempted for a unit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Claim<'a> {
+    priority: u8,
+    /// The account, if the unit is covered by its guarantee.
+    guaranteed: Option<Option<&'a str>>,
+}
+
+impl<'a> Claim<'a> {
+    fn of(unit: &Unit<'a>) -> Claim<'a> {
+        Claim {
+            priority: unit.priority,
+            guaranteed: (unit.rank == Rank::Guaranteed).then_some(unit.account),
+        }
+    }
+}
+
+impl<'a> Round<'a> {
+    /// Subtracts the resources of a run from its host, if that can take work, and adds them to the urgent usage of its
+    /// service or to the other work of the host.
+    fn count_run(&mut self, run: &CountedRun<'a>, position: Option<usize>) {
+        let (step, resources) = (run.step, run.resources);
+        if run.queue.is_some_and(|queue| queue.priority == 0) {
+            let service = run.queue.map_or("", |queue| queue.service.as_str());
+            *self.urgent_usage.entry(service).or_default() += resources;
+        } else if let Some(position) = position {
+            let host = &mut self.hosts[position];
             host.other_work += resources.accelerators;
-            let step = self.registry.step(task);
-            if step.is_some_and(|step| !step.gang && !step.lasting) {
+            if !step.gang && !step.lasting {
                 host.single_work += resources;
             }
         }
+        let Some(position) = position else {
+            return;
+        };
+        let host = &mut self.hosts[position];
+        host.free -= resources;
+        if !run.stopping {
+            host.free_soon -= resources;
+        }
+        host.has_suspect |= run.suspect;
+        if step.spread.is_some() {
+            host.count_task(run.task);
+        }
     }
 
     /// How many tasks of a unit may be started.
@@ -91,6 +123,19 @@
     }
 }
 
+/// A run whose resources a planning round subtracts.
+struct CountedRun<'a> {
+    task: id::Task,
+    step: &'a Step,
+    /// Queue of its job.
+    queue: Option<&'a Queue>,
+    resources: Resources,
+    /// Whether it is being stopped.
+    stopping: bool,
+    /// Whether it may crash its upstream.
+    suspect: bool,
+}
+
 /// Planning: assigns ready work and preempts running work for it.
 impl Engine {
     /// Runs one planning round over all ready work, highest rank first.
@@ -121,11 +166,9 @@
                 }
                 Some(Obstacle::RoundLimit)
             } else {
-                self.effort.planned += round.hosts.len() as u64;
-                let allowed = self.allowed(registry, unit, &round.hosts);
                 match unit.step.gang {
-                    true => self.plan_gang(&mut round, unit, &allowed),
-                    false => self.plan_tasks(&mut round, unit, &allowed),
+                    true => self.plan_gang(&mut round, unit),
+                    false => self.plan_tasks(&mut round, unit),
                 }
             };
             waiting.extend(obstacle.map(|obstacle| (unit, obstacle)));
@@ -138,6 +181,7 @@
     fn begin_round<'a>(&mut self, registry: &'a Registry) -> Round<'a> {
         let mut hosts = Vec::new();
         let mut positions = IndexMap::default();
+        let mut slowness: IndexMap<&str, u32> = IndexMap::default();
         for upstream in registry.upstreams() {
             let usable = self
                 .sessions
@@ -148,12 +192,16 @@
             if !usable || !healthy || upstream.draining {
                 continue;
             }
-            positions.insert(upstream.id.clone(), hosts.len());
+            let data_centre = upstream.data_centre.as_str();
+            let slowness = slowness
+                .entry(data_centre)
+                .or_insert_with(|| self.estimator.slowness(data_centre));
+            positions.insert(&upstream.id, hosts.len());
             hosts.push(Host {
                 upstream,
                 free: upstream.capacity,
                 free_soon: upstream.capacity,
-                slowness: self.estimator.slowness(&upstream.data_centre),
+                slowness: *slowness,
                 reliable: health.is_none_or(|health| health.is_reliable()),
                 task_counts: Vec::new(),
                 other_work: 0,
@@ -173,6 +221,8 @@
             guaranteed: order::guaranteed_accounts(registry),
             urgent_usage: IndexMap::default(),
             supply: IndexMap::default(),
+            attempts: Attempts::default(),
+            victims: IndexMap::default(),
         };
         self.effort.rounds += 1;
         self.effort.planned += (round.hosts.len() + self.tracked_runs.len()) as u64;
@@ -202,68 +252,67 @@
     }
 
     /// Subtracts the resources of runs that are live, proposed or being stopped.
-    fn subtract_usage(&self, round: &mut Round<'_>) {
-        for (upstream, key, live) in round.registry.allocations() {
-            round.count_usage(&key.0, upstream, live.resources);
-            let Some(position) = round.positions.get(upstream) else {
-                continue;
-            };
-            let host = &mut round.hosts[*position];
-            host.free -= live.resources;
-            let tracked = self.tracked_runs.get(key);
-            let has_progress = tracked.is_some_and(|tracked| tracked.percent > 0);
-            host.has_suspect |= !has_progress && is_suspect(round.registry, &key.0);
-            if tracked.is_none_or(|tracked| tracked.stopping.is_none()) {
-                host.free_soon -= live.resources;
-            }
-            if round
-                .registry
-                .step(&key.0)
-                .is_some_and(|step| step.spread.is_some())
-            {
-                host.count_task(key.0);
+    fn subtract_usage<'a>(&self, round: &mut Round<'a>) {
+        let registry = round.registry;
+        for (upstream, runs) in registry.live_runs() {
+            let position = round.positions.get(upstream).copied();
+            for (key, live) in runs {
+                let Some(job) = registry.job(key.0.job) else {
+                    continue;
+                };
+                let Some(step) = job.step(&key.0) else {
+                    continue;
+                };
+                let tracked = self.tracked_runs.get(key);
+                let has_progress = tracked.is_some_and(|tracked| tracked.percent > 0);
+                let run = CountedRun {
+                    task: key.0,
+                    step,
+                    queue: registry.queue(&job.queue),
+                    resources: live.resources,
+                    stopping: tracked.is_some_and(|tracked| tracked.stopping.is_some()),
+                    suspect: !has_progress && is_suspect(registry, &key.0),
+                };
+                round.count_run(&run, position);
             }
         }
         for placement in self.proposed_placements.values().flatten() {
-            let (Some(position), Some(step)) = (
-                round.positions.get(&placement.upstream).copied(),
-                round.registry.step(&placement.task),
-            ) else {
+            let Some(position) = round.positions.get(&placement.upstream).copied() else {
                 continue;
             };
-            // An applied placement is among the allocations above.
-            if round
-                .registry
-                .task(&placement.task)
-                .is_some_and(|task| !task.live.is_empty())
-            {
+            let task = placement.task;
+            // An applied placement is among the runs above.
+            let is_applied = registry
+                .task(&task)
+                .is_some_and(|task| !task.live.is_empty());
+            let (Some(job), Some(step)) = (registry.job(task.job), registry.step(&task)) else {
+                continue;
+            };
+            if is_applied {
                 continue;
             }
-            round.count_usage(&placement.task, &placement.upstream, step.reserved());
-            let host = &mut round.hosts[position];
-            host.has_suspect |= is_suspect(round.registry, &placement.task);
-            host.free -= step.reserved();
-            host.free_soon -= step.reserved();
-            if step.spread.is_some() {
-                host.count_task(placement.task);
-            }
+            let run = CountedRun {
+                task,
+                step,
+                queue: registry.queue(&job.queue),
+                resources: step.reserved(),
+                stopping: false,
+                suspect: is_suspect(registry, &task),
+            };
+            round.count_run(&run, Some(position));
         }
     }
 
     /// Assigns a gang, or preempts other work for it. Returns what keeps it waiting, if it is not assigned.
-    fn plan_gang(
-        &mut self,
-        round: &mut Round<'_>,
-        unit: &Unit<'_>,
-        allowed: &[bool],
-    ) -> Option<Obstacle> {
+    fn plan_gang<'a>(&mut self, round: &mut Round<'a>, unit: &Unit<'a>) -> Option<Obstacle> {
         if round.allowance(unit) < unit.tasks.len() {
             return Some(Obstacle::Headroom);
         }
+        let allowed = self.allowed(round.registry, unit, &round.hosts);
+        let allowed = &allowed;
         let locality = self.locality(round, unit, allowed);
-        if let Some(places) = place::gang(unit, &round.hosts, allowed, Availability::Now, locality)
-        {
-            self.assign(round, unit, &places);
+        if let Some(places) = self.find_gang(round, unit, allowed, Availability::Now, locality) {
+            self.assign(round, unit, &unit.tasks, &places);
             return None;
         }
         let Some(limit) = unit
@@ -277,8 +326,7 @@
             return Some(Obstacle::Room);
         };
         // Resources that are being freed are reserved, so that no work of lower rank takes them.
-        if let Some(places) = place::gang(unit, &round.hosts, allowed, Availability::Soon, locality)
-        {
+        if let Some(places) = self.find_gang(round, unit, allowed, Availability::Soon, locality) {
             round.reserve(unit, &places);
             return Some(Obstacle::Freeing);
         }
@@ -289,9 +337,15 @@
             return Some(Obstacle::Discovery);
         }
         round.victim_searches += 1;
-        let victims = self.victims(round, unit);
+        let claim = Claim::of(unit);
+        let mut victims = match round.victims.swap_remove(&claim) {
+            Some(victims) => victims,
+            None => self.victims(round, unit),
+        };
+        self.effort.planned += (round.hosts.len() + victims.len()) as u64;
         let choice = reclaim::choose_victims(unit, &round.hosts, allowed, &victims, locality);
         let Some((chosen, places)) = choice else {
+            round.victims.insert(claim, victims);
             return Some(Obstacle::Preemption);
         };
         let lost_core_seconds: f64 = chosen
@@ -299,6 +353,7 @@
             .map(|position| victims[*position].lost_core_seconds)
             .sum();
         if lost_core_seconds > limit {
+            round.victims.insert(claim, victims);
             return Some(Obstacle::Preemption);
         }
         log::info!(
@@ -309,49 +364,95 @@
             unit.rank,
             chosen.len()
         );
-        for position in chosen {
-            for (host, resources) in &victims[position].resources {
-                round.hosts[*host].free_soon += *resources;
-            }
-            for key in &victims[position].runs {
-                self.stop(*key, "reclaim");
-            }
-            if let Some(supply) = round.supply.get_mut(unit.service) {
-                let freed = victims[position].resources.iter();
-                supply.free += freed
-                    .map(|(_, resources)| resources.accelerators)
-                    .sum::<i64>();
-            }
+        for position in &chosen {
+            self.preempt(round, unit, &victims[*position]);
+        }
+        let mut chosen = chosen;
+        chosen.sort_unstable();
+        for position in chosen.into_iter().rev() {
+            victims.remove(position);
         }
+        // Other claims may have the same victims.
+        round.victims.clear();
+        round.victims.insert(claim, victims);
+        round.attempts.discard_soon();
         round.reserve(unit, &places);
         Some(Obstacle::Freeing)
     }
 
-    /// Assigns as many of the tasks as possible. Returns what keeps the others waiting.
-    fn plan_tasks(
+    /// Stops a victim; its resources count as being freed.
+    fn preempt(&mut self, round: &mut Round<'_>, unit: &Unit<'_>, victim: &Victim) {
+        for (host, resources) in &victim.resources {
+            round.hosts[*host].free_soon += *resources;
+        }
+        for key in &victim.runs {
+            self.stop(*key, "reclaim");
+        }
+        if let Some(supply) = round.supply.get_mut(unit.service) {
+            let freed = victim.resources.iter();
+            supply.free += freed
+                .map(|(_, resources)| resources.accelerators)
+                .sum::<i64>();
+        }
+    }
+
+    /// Finds places for a gang, unless they are known not to exist.
+    fn find_gang<'a>(
         &mut self,
-        round: &mut Round<'_>,
-        unit: &Unit<'_>,
+        round: &mut Round<'a>,
+        unit: &Unit<'a>,
         allowed: &[bool],
-    ) -> Option<Obstacle> {
-        let locality = self.locality(round, unit, allowed);
-        for index in &unit.tasks {
-            if round.assigned >= MAX_ASSIGNED {
-                return Some(Obstacle::RoundLimit);
-            }
-            if round.allowance(unit) == 0 {
-                return Some(Obstacle::Headroom);
-            }
-            let Some(place) = place::single(unit, &round.hosts, allowed, locality) else {
-                return Some(Obstacle::Room);
-            };
-            let one = Unit {
-                tasks: vec![*index],
-                ..unit.clone()
-            };
-            self.assign(round, &one, &[place]);
+        availability: Availability,
+        locality: Locality,
+    ) -> Option<Vec<usize>> {
+        let count = unit.tasks.len();
+        if round
+            .attempts
+            .is_hopeless(unit, count, availability, locality)
+        {
+            return None;
+        }
+        self.effort.planned += round.hosts.len() as u64;
+        let places = place::gang(unit, &round.hosts, allowed, availability, locality);
+        if places.is_none() {
+            let attempts = &mut round.attempts;
+            attempts.record_failure(unit, count, availability, locality);
+        }
+        places
+    }
+
+    /// Assigns as many of the tasks as possible. Returns what keeps the others waiting.
+    fn plan_tasks<'a>(&mut self, round: &mut Round<'a>, unit: &Unit<'a>) -> Option<Obstacle> {
+        let allowance = round.allowance(unit);
+        if allowance == 0 {
+            return Some(Obstacle::Headroom);
+        }
+        let allowed = self.allowed(round.registry, unit, &round.hosts);
+        let locality = self.locality(round, unit, &allowed);
+        let availability = Availability::Now;
+        if round.attempts.is_hopeless(unit, 1, availability, locality) {
+            return Some(Obstacle::Room);
+        }
+        self.effort.planned += round.hosts.len() as u64;
+        let count = unit
+            .tasks
+            .len()
+            .min(allowance)
+            .min(MAX_ASSIGNED - round.assigned);
+        let places = place::fill(unit, &round.hosts, &allowed, locality, count);
+        for (index, place) in unit.tasks.iter().zip(&places) {
+            self.assign(round, unit, &[*index], &[*place]);
+        }
+        if places.len() < count {
+            let attempts = &mut round.attempts;
+            attempts.record_failure(unit, 1, availability, locality);
+        }
+        match places.len() {
+            placed if placed == unit.tasks.len() => None,
+            placed if placed < count => Some(Obstacle::Room),
+            placed if placed == allowance => Some(Obstacle::Headroom),
+            _ => Some(Obstacle::RoundLimit),
         }
-        None
     }
 
     /// Expected work of a unit in core-seconds.
@@ -364,8 +465,13 @@
     }
 
     /// Whether the unit must be placed near its data and its other members, or may be placed anywhere.
-    fn locality(&self, round: &Round<'_>, unit: &Unit<'_>, allowed: &[bool]) -> Locality {
-        if !unit.is_rack_sensitive() || !place::could_be_near(unit, &round.hosts, allowed) {
+    fn locality<'a>(&self, round: &mut Round<'a>, unit: &Unit<'a>, allowed: &[bool]) -> Locality {
+        if !unit.is_rack_sensitive() {
+            return Locality::Far;
+        }
+        let hosts = &round.hosts;
+        let attempts = &mut round.attempts;
+        if !attempts.could_be_near(unit, || place::could_be_near(unit, hosts, allowed)) {
             return Locality::Far;
         }
         let waited_ms = self.time_ms.saturating_sub(unit.ready_since_ms);
@@ -378,10 +484,10 @@
         }
     }
 
-    fn assign(&mut self, round: &mut Round<'_>, unit: &Unit<'_>, places: &[usize]) {
+    fn assign(&mut self, round: &mut Round<'_>, unit: &Unit<'_>, tasks: &[u16], places: &[usize]) {
         round.reserve(unit, places);
         let mut placements = Vec::with_capacity(places.len());
-        for (index, place) in unit.tasks.iter().zip(places) {
+        for (index, place) in tasks.iter().zip(places) {
             let host = &round.hosts[*place];
             placements.push(Placement {
                 task: unit.task_id(*index),
@@ -454,10 +560,10 @@
     progress.is_some_and(|progress| progress.losses.is_suspect())
 }
 
-fn idle_services(hosts: &[Host<'_>]) -> IndexMap<String, bool> {
-    let mut totals: IndexMap<String, (Resources, Resources)> = IndexMap::default();
+fn idle_services<'a>(hosts: &[Host<'a>]) -> IndexMap<&'a str, bool> {
+    let mut totals: IndexMap<&str, (Resources, Resources)> = IndexMap::default();
     for host in hosts {
-        let (capacity, free) = totals.entry(host.upstream.service.clone()).or_default();
+        let (capacity, free) = totals.entry(host.upstream.service.as_str()).or_default();
         *capacity += host.upstream.capacity;
         *free += host.free;
     }
--- a/crates/plan/src/learn/estimator.rs
+++ b/crates/plan/src/learn/estimator.rs
@@ -19,11 +19,20 @@
 /// Estimates durations from the learned ratio of actual to declared ones, by queue and account.
 #[derive(Clone, Debug, Default)]
 pub struct Estimator {
-    ratios: IndexMap<(String, Option<String>), f64>,
+    /// Ratio of actual to declared durations, by queue and account.
+    ratios: IndexMap<String, Ratios>,
     /// Ratio of actual to expected durations, by data centre.
     slowdowns: IndexMap<String, f64>,
 }
 
+/// Ratios of actual to declared durations of a queue's tasks.
+#[derive(Clone, Debug, Default)]
+struct Ratios {
+    accounts: IndexMap<String, f64>,
+    /// Of jobs without an account.
+    public: Option<f64>,
+}
+
 impl Estimator {
     /// Records the duration of a task of the step on an upstream near its data.
     pub fn observe(&mut self, job: &Job, step: &Step, data_centre: &str, took: Duration) {
@@ -37,8 +46,11 @@
         *slowdown += SLOWDOWN_WEIGHT * (relative - *slowdown);
         let observed = took.as_secs_f64() * 1000.0 / f64::from(step.estimate_ms);
         let observed = observed.clamp(RATIO_BOUNDS.0, RATIO_BOUNDS.1);
-        let key = (job.queue.clone(), job.account.clone());
-        let ratio = self.ratios.entry(key).or_insert(observed);
+        let ratios = self.ratios.entry(job.queue.clone()).or_default();
+        let ratio = match &job.account {
+            Some(account) => ratios.accounts.entry(account.clone()).or_insert(observed),
+            None => ratios.public.get_or_insert(observed),
+        };
         *ratio += RATIO_WEIGHT * (observed - *ratio);
     }
 
@@ -57,8 +69,12 @@
 
     /// Expected duration of a task of the step near its data, in milliseconds.
     pub fn expected_ms(&self, job: &Job, step: &Step) -> f64 {
-        let key = (job.queue.clone(), job.account.clone());
-        let ratio = self.ratios.get(&key).copied().unwrap_or(1.0);
+        let ratios = self.ratios.get(&job.queue);
+        let ratio = ratios.and_then(|ratios| match &job.account {
+            Some(account) => ratios.accounts.get(account).copied(),
+            None => ratios.public,
+        });
+        let ratio = ratio.unwrap_or(1.0);
         f64::from(step.estimate_ms) * ratio
     }
 }
--- a/crates/plan/src/order/unit.rs
+++ b/crates/plan/src/order/unit.rs
@@ -91,6 +91,11 @@
         self.may_be_withheld() && !may_share && !self.isolated
     }
 
+    /// Whether each of its tasks must be the only one of the unit on its upstream.
+    pub fn needs_own_upstream(&self) -> bool {
+        self.isolated || self.suspect
+    }
+
     /// Whether its speed depends on racks: its data is on one, or its members should share one.
     pub fn is_rack_sensitive(&self) -> bool {
         self.step.data_rack.is_some() || (self.step.gang && self.step.same_rack)
--- a/crates/plan/src/place/fit.rs
+++ b/crates/plan/src/place/fit.rs
@@ -5,7 +5,7 @@
 };
 
 /// How close to its data and to each other the tasks of a unit must run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Locality {
     /// On the rack of the data, and on one rack if the gang asks for that.
     Near,
@@ -78,10 +78,28 @@
     allowed: &[bool],
     locality: Locality,
 ) -> Option<usize> {
-    candidates(unit, hosts, allowed, locality)
+    fill(unit, hosts, allowed, locality, 1).first().copied()
+}
+
+/// Finds upstreams for up to `count` single tasks of a unit, as positions in `hosts`. Fills the fullest ones first.
+pub fn fill(
+    unit: &Unit<'_>,
+    hosts: &[Host<'_>],
+    allowed: &[bool],
+    locality: Locality,
+    count: usize,
+) -> Vec<usize> {
+    let mut fitting: Vec<(usize, usize)> = candidates(unit, hosts, allowed, locality)
         .into_iter()
-        .filter(|position| hosts[*position].slots(unit, Availability::Now) > 0)
-        .min_by_key(|position| preference(unit, &hosts[*position]))
+        .map(|position| (position, hosts[position].slots(unit, Availability::Now)))
+        .filter(|(_, slots)| *slots > 0)
+        .collect();
+    fitting.sort_by_key(|(position, _)| preference(unit, &hosts[*position]));
+    let places = fitting.into_iter().flat_map(|(position, slots)| {
+        let slots = if unit.needs_own_upstream() { 1 } else { slots };
+        std::iter::repeat_n(position, slots)
+    });
+    places.take(count).collect()
 }
 
 /// Sort key of upstreams, best first: the order for urgent work, then the fullest upstream.
--- a/crates/plan/src/place/host.rs
+++ b/crates/plan/src/place/host.rs
@@ -32,7 +32,7 @@
 }
 
 /// Which resources count as available.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Availability {
     /// What is free now and not reserved for waiting work.
     Now,
--- a/crates/plan/src/place/mod.rs
+++ b/crates/plan/src/place/mod.rs
@@ -1,9 +1,11 @@
 //! Placement: which upstreams take the tasks of a unit.
 
+mod attempts;
 mod fit;
 mod host;
 
 pub use {
-    fit::{Locality, best_fit, candidates, could_be_near, gang, single},
+    attempts::Attempts,
+    fit::{Locality, best_fit, candidates, could_be_near, fill, gang, single},
     host::{Availability, Host},
 };
--- a/crates/plan/src/reclaim/victim.rs
+++ b/crates/plan/src/reclaim/victim.rs
@@ -12,14 +12,3 @@
     /// Core-seconds of work that preemption would lose.
     pub lost_core_seconds: f64,
 }
-
-impl Victim {
-    /// Number of accelerators that it holds on the given hosts.
-    pub fn accelerators(&self, hosts: &[usize]) -> i64 {
-        let resources = self
-            .resources
-            .iter()
-            .filter(|(host, _)| hosts.contains(host));
-        resources.map(|(_, resources)| resources.accelerators).sum()
-    }
-}
--- a/crates/sim/src/lib.rs
+++ b/crates/sim/src/lib.rs
@@ -19,5 +19,5 @@
     trouble::{Faults, Trouble},
     truth::Truth,
     upstream::{Nature, Run, Upstream},
-    world::{Setup, World},
+    world::{Processor, Setup, World},
 };
--- a/crates/sim/src/world/finish.rs
+++ b/crates/sim/src/world/finish.rs
@@ -1,19 +1,23 @@
 use {
     super::World,
     crate::{Oracle, Report, Tally},
-    work::{id, registry::State},
+    work::{
+        id,
+        registry::{Change, State},
+    },
 };
 
 /// The end of the day.
 impl World {
     pub(super) fn note_ends(&mut self) {
-        let has_ended = |id: &id::Job| {
-            self.book
-                .job(*id)
-                .is_some_and(|job| job.state != State::Open)
+        let seen = std::mem::replace(&mut self.noted_revision, self.book.revision());
+        let Some(changes) = self.book.changes_since(seen) else {
+            return;
         };
-        for id in self.arrivals.keys().filter(|id| has_ended(id)) {
-            self.ended.entry(*id).or_insert(self.now_ms);
+        for change in changes {
+            if let Change::JobEnded(id, _) = change {
+                self.ended.entry(*id).or_insert(self.now_ms);
+            }
         }
     }
 
--- a/crates/sim/src/world/happening.rs
+++ b/crates/sim/src/world/happening.rs
@@ -1,6 +1,6 @@
 use {
     crate::{Arrival, Trouble},
-    plan::engine::{Event, Hold, Start, Stop, Target},
+    plan::engine::{Effect, Event, Hold, Start, Stop, Target},
     work::{id, registry::Update},
 };
 
@@ -41,6 +41,11 @@
         upstream: id::Upstream,
         call: u64,
     },
+    /// The leader has finished a step.
+    StepDone {
+        term: u64,
+        effects: Vec<Effect>,
+    },
     Watch,
     Trouble(Trouble),
     Mend(id::Upstream),
--- a/crates/sim/src/world/mod.rs
+++ b/crates/sim/src/world/mod.rs
@@ -3,9 +3,10 @@
 mod finish;
 mod happening;
 mod network;
+mod processor;
 mod runs;
 mod setup;
 mod troubles;
 mod world;
 
-pub use {setup::Setup, world::World};
+pub use {processor::Processor, setup::Setup, world::World};
--- a/crates/sim/src/world/setup.rs
+++ b/crates/sim/src/world/setup.rs
@@ -1,4 +1,5 @@
 use {
+    super::Processor,
     crate::{Faults, Load, Trouble},
     plan::engine::Settings,
     work::config::{Account, Config, Queue, Service},
@@ -23,6 +24,8 @@
     pub troubles: Vec<(u64, Trouble)>,
     /// Seed of delays and faults.
     pub seed: u64,
+    /// Processor time of the leader; none by default.
+    pub processor: Processor,
     /// Bounds of the engine.
     pub settings: Settings,
 }
@@ -38,6 +41,7 @@
             faults: Faults::default(),
             troubles: Vec::new(),
             seed: 1,
+            processor: Processor::default(),
             settings: Settings::default(),
         }
     }
--- a/crates/sim/src/world/troubles.rs
+++ b/crates/sim/src/world/troubles.rs
@@ -23,6 +23,8 @@
         match trouble {
             Trouble::NewLeader => {
                 self.term += 1;
+                self.pending_events.clear();
+                self.is_busy = false;
                 let now = self.base + Duration::from_micros((self.now_ms * 1000.0) as u64);
                 self.engine = Engine::new(self.setup.settings.clone(), now);
                 self.step(Vec::new());
--- a/crates/sim/src/world/world.rs
+++ b/crates/sim/src/world/world.rs
@@ -6,7 +6,7 @@
     },
     crate::{Arrival, Load, Nature, Oracle, Report, Upstream},
     indexmap::IndexMap,
-    plan::engine::{Effect, Engine, Event},
+    plan::engine::{Effect, Effort, Engine, Event},
     rand::{RngExt, SeedableRng, rngs::StdRng},
     std::{
         collections::BTreeMap,
@@ -49,6 +49,15 @@
     pub(super) queue: BTreeMap<(u64, u64), Happening>,
     pub(super) book: Registry,
     pub(super) engine: Engine,
+    /// Events that wait for the end of the engine's step.
+    pub(super) pending_events: Vec<Event>,
+    /// Commits that wait for the end of the engine's step, which reads the registry.
+    pub(super) pending_commits: Vec<(u64, u64, Vec<Update>)>,
+    /// Whether the engine's step is not over.
+    pub(super) is_busy: bool,
+    effort: Effort,
+    /// Revision of the registry up to which ended jobs were noted.
+    pub(super) noted_revision: u64,
     pub(super) term: u64,
     pub(super) upstreams: IndexMap<id::Upstream, Upstream>,
     pub(super) waiting: IndexMap<id::Upstream, Waiting>,
@@ -69,6 +78,11 @@
         let rng = StdRng::seed_from_u64(setup.seed);
         let mut world = World {
             engine: Engine::new(setup.settings.clone(), base),
+            pending_events: Vec::new(),
+            pending_commits: Vec::new(),
+            is_busy: false,
+            effort: Effort::default(),
+            noted_revision: 0,
             load,
             base,
             now_ms: 0.0,
@@ -208,6 +222,17 @@
                     self.answer_hold(&upstream);
                 }
             }
+            Happening::StepDone { term, effects } if term == self.term => {
+                self.is_busy = false;
+                for effect in effects {
+                    self.perform(effect);
+                }
+                for (term, proposal, updates) in std::mem::take(&mut self.pending_commits) {
+                    self.commit(term, proposal, updates);
+                }
+                self.step(Vec::new());
+            }
+            Happening::StepDone { .. } => {}
             Happening::Watch => {
                 self.at(self.now_ms + 5.0, Happening::Watch);
                 self.watch();
@@ -227,13 +252,39 @@
     pub(super) fn step(&mut self, events: Vec<Event>) {
         let now = self.base + Duration::from_micros((self.now_ms * 1000.0) as u64);
         log::trace!("event=model_step at={:.0}", self.now_ms);
+        self.pending_events.extend(events);
+        if self.is_busy {
+            return;
+        }
+        let events = std::mem::take(&mut self.pending_events);
+        let event_count = events.len();
         let effects = self
             .engine
             .step(events, &self.book, now, self.now_ms as u64);
-        for effect in effects {
-            self.perform(effect);
-        }
+        let effort = self.engine.take_effort();
+        self.effort += effort;
         self.note_ends();
+        let processor = self.setup.processor;
+        let took = processor.per_entry.mul_f64(effort.total() as f64)
+            + processor.per_event * (event_count + effects.len()) as u32;
+        if took.is_zero() {
+            for effect in effects {
+                self.perform(effect);
+            }
+            return;
+        }
+        if effort.rounds > 0 {
+            self.engine.record_round(took);
+        }
+        self.is_busy = true;
+        let term = self.term;
+        let done_ms = self.now_ms + took.as_secs_f64() * 1000.0;
+        self.at(done_ms, Happening::StepDone { term, effects });
+    }
+
+    /// What the engine's steps have examined since the previous call.
+    pub fn take_effort(&mut self) -> Effort {
+        std::mem::take(&mut self.effort)
     }
 
     pub(super) fn perform(&mut self, effect: Effect) {
@@ -282,6 +333,10 @@
     }
 
     pub(super) fn commit(&mut self, term: u64, proposal: u64, updates: Vec<Update>) {
+        if self.is_busy {
+            self.pending_commits.push((term, proposal, updates));
+            return;
+        }
         // A proposal of a former leader is committed or lost.
         if term != self.term && self.rng.random_bool(0.5) {
             return;
