plan: reserve the room that is being freed for a gang

Each round placed the gang anew, so the room that was being freed for it went to smaller urgent gangs, which it fits best, or to work of lower priority that was stopped again at 0 %, and the next round stopped more.

The engine remembers the places for which it has preempted work, and each round subtracts them before any unit is placed, until the gang starts, loses its rank, or a stop should long be over.

--- a/crates/plan/src/engine/engine.rs
+++ b/crates/plan/src/engine/engine.rs
@@ -1,7 +1,8 @@
 use {
     super::{
         Effect, Effort, Event, Failure, Refusal, Settings, Target, addresses::Addresses,
-        advice::Advice, drain::Departures, session::Session, tracked_run::TrackedRun,
+        advice::Advice, drain::Departures, reservations::Reservation, session::Session,
+        tracked_run::TrackedRun,
     },
     crate::{
         headroom::Headroom,
@@ -97,6 +98,8 @@
     next_expire: Instant,
     pub(super) next_report: Instant,
     pub(super) departures: Departures,
+    /// Places for which work was preempted, by the first task of the step that they are reserved for.
+    pub(super) reservations: IndexMap<id::Task, Reservation>,
     /// Headroom for urgent work, by service.
     pub(super) headroom: IndexMap<String, Headroom>,
     /// Entries examined since [`Engine::take_effort`] was last called.
@@ -137,6 +140,7 @@
             next_expire: now + EXPIRE_INTERVAL,
             next_report: now,
             departures: Departures::default(),
+            reservations: IndexMap::default(),
             headroom: IndexMap::default(),
             effort: Effort::default(),
         }
--- a/crates/plan/src/engine/load_report.rs
+++ b/crates/plan/src/engine/load_report.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Engine, obstacle::Obstacle, planning::Round},
+    super::{Engine, obstacle::Obstacle, round::Round},
     crate::order::{Rank, Unit},
     std::time::Duration,
     work::{collections::IndexMap, job::Resources},
--- a/crates/plan/src/engine/mod.rs
+++ b/crates/plan/src/engine/mod.rs
@@ -12,6 +12,8 @@
 mod load_report;
 mod obstacle;
 mod planning;
+mod reservations;
+mod round;
 mod runs;
 mod session;
 mod settings;
--- a/crates/plan/src/engine/planning.rs
+++ b/crates/plan/src/engine/planning.rs
@@ -1,16 +1,20 @@
 use {
-    super::{Engine, engine::RunKey, obstacle::Obstacle},
+    super::{
+        Engine,
+        engine::RunKey,
+        obstacle::Obstacle,
+        round::{Claim, CountedRun, Round},
+    },
     crate::{
-        headroom::{self, Headroom, Supply},
+        headroom::{self, Headroom},
         order::{self, Rank, Unit},
         place::{self, Attempts, Availability, Host, Locality},
         reclaim::{self, Victim},
     },
     work::{
         collections::{IndexMap, IndexSet},
-        config::Queue,
         id,
-        job::{Resources, Step},
+        job::Resources,
         registry::{Placement, Registry, Update},
     },
 };
@@ -34,108 +38,6 @@
 /// Progress in percent from which a run is not preempted: it ends about as soon as it could be stopped.
 const NEARLY_DONE_PERCENT: u8 = 90;
 
-/// State of one planning round.
-pub(super) struct Round<'a> {
-    registry: &'a Registry,
-    pub(super) hosts: Vec<Host<'a>>,
-    /// Positions in `hosts`, by upstream.
-    positions: IndexMap<&'a id::Upstream, usize>,
-    /// Whether a service counts as idle, by service.
-    idle: IndexMap<&'a str, bool>,
-    /// Number of tasks assigned so far.
-    assigned: usize,
-    /// Number of units for which victims were searched so far.
-    victim_searches: usize,
-    /// Accounts whose jobs of priority 0 are covered by their guarantee.
-    guaranteed: IndexSet<&'a str>,
-    /// Resources that urgent work uses, by service.
-    urgent_usage: IndexMap<&'a str, Resources>,
-    /// Accelerators, by service.
-    pub(super) supply: IndexMap<&'a str, Supply>,
-    /// Placements that failed.
-    attempts: Attempts<'a>,
-    /// Running work that may be preempted, by the kind of work for which it may.
-    victims: IndexMap<Claim<'a>, Vec<Victim>>,
-}
-
-/// What decides which running work may be preempted for a unit.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-struct Claim<'a> {
-    priority: u8,
-    /// The account, if the unit is covered by its guarantee.
-    guaranteed: Option<Option<&'a str>>,
-}
-
-impl<'a> Claim<'a> {
-    fn of(unit: &Unit<'a>) -> Claim<'a> {
-        Claim {
-            priority: unit.priority,
-            guaranteed: (unit.rank == Rank::Guaranteed).then_some(unit.account),
-        }
-    }
-}
-
-impl<'a> Round<'a> {
-    /// Subtracts the resources of a run from its host, if that can take work, and adds them to the urgent usage of its
-    /// service or to the other work of the host.
-    fn count_run(&mut self, run: &CountedRun<'a>, position: Option<usize>) {
-        let (step, resources) = (run.step, run.resources);
-        if run.queue.is_some_and(|queue| queue.priority == 0) {
-            let service = run.queue.map_or("", |queue| queue.service.as_str());
-            *self.urgent_usage.entry(service).or_default() += resources;
-        } else if let Some(position) = position {
-            let host = &mut self.hosts[position];
-            host.other_work += resources.accelerators;
-            if !step.gang && !step.lasting {
-                host.single_work += resources;
-            }
-        }
-        let Some(position) = position else {
-            return;
-        };
-        let host = &mut self.hosts[position];
-        host.free -= resources;
-        if !run.stopping {
-            host.free_soon -= resources;
-        }
-        host.has_suspect |= run.suspect;
-        if step.spread.is_some() {
-            host.count_task(run.task);
-        }
-    }
-
-    /// How many tasks of a unit may be started.
-    fn allowance(&self, unit: &Unit<'_>) -> usize {
-        let supply = self.supply.get(unit.service);
-        supply.map_or(0, |supply| supply.allowance(unit))
-    }
-
-    /// Reserves resources for tasks of a unit.
-    fn reserve(&mut self, unit: &Unit<'_>, places: &[usize]) {
-        for place in places {
-            let host = &mut self.hosts[*place];
-            host.reserve(unit);
-            host.has_suspect |= unit.suspect;
-            if let Some(supply) = self.supply.get_mut(unit.service) {
-                supply.allocate(unit, host.set_aside);
-            }
-        }
-    }
-}
-
-/// A run whose resources a planning round subtracts.
-struct CountedRun<'a> {
-    task: id::Task,
-    step: &'a Step,
-    /// Queue of its job.
-    queue: Option<&'a Queue>,
-    resources: Resources,
-    /// Whether it is being stopped.
-    stopping: bool,
-    /// Whether it may crash its upstream.
-    suspect: bool,
-}
-
 /// Planning: assigns ready work and preempts running work for it.
 impl Engine {
     /// Runs one planning round over all ready work, highest rank first.
@@ -158,6 +60,7 @@
         if reports {
             self.report_load(&round, &units);
         }
+        self.subtract_reservations(&mut round, &units);
         let mut waiting = Vec::new();
         for unit in &units {
             let obstacle = if round.assigned >= MAX_ASSIGNED {
@@ -221,6 +124,7 @@
             guaranteed: order::guaranteed_accounts(registry),
             urgent_usage: IndexMap::default(),
             supply: IndexMap::default(),
+            reservations: IndexMap::default(),
             attempts: Attempts::default(),
             victims: IndexMap::default(),
         };
@@ -311,6 +215,15 @@
         let allowed = self.allowed(round.registry, unit, &round.hosts);
         let allowed = &allowed;
         let locality = self.locality(round, unit, allowed);
+        if let Some(reserved) = round.reservations.swap_remove(&unit.first_task) {
+            return match self.find_reserved(round, unit, reserved, allowed, locality) {
+                Some(places) => {
+                    self.assign(round, unit, &unit.tasks, &places);
+                    None
+                }
+                None => Some(Obstacle::Freeing),
+            };
+        }
         if let Some(places) = self.find_gang(round, unit, allowed, Availability::Now, locality) {
             self.assign(round, unit, &unit.tasks, &places);
             return None;
@@ -376,6 +289,7 @@
         round.victims.clear();
         round.victims.insert(claim, victims);
         round.attempts.discard_soon();
+        self.add_reservation(round, unit, &places);
         round.reserve(unit, &places);
         Some(Obstacle::Freeing)
     }
--- /dev/null
+++ b/crates/plan/src/engine/round.rs
@@ -0,0 +1,150 @@
+use {
+    crate::{
+        headroom::Supply,
+        order::{Rank, Unit},
+        place::{Attempts, Availability, Host},
+        reclaim::Victim,
+    },
+    work::{
+        collections::{IndexMap, IndexSet},
+        config::Queue,
+        id,
+        job::{Resources, Step},
+        registry::Registry,
+    },
+};
+
+/// State of one planning round.
+pub(super) struct Round<'a> {
+    pub registry: &'a Registry,
+    pub hosts: Vec<Host<'a>>,
+    /// Positions in `hosts`, by upstream.
+    pub positions: IndexMap<&'a id::Upstream, usize>,
+    /// Whether a service counts as idle, by service.
+    pub idle: IndexMap<&'a str, bool>,
+    /// Number of tasks assigned so far.
+    pub assigned: usize,
+    /// Number of units for which victims were searched so far.
+    pub victim_searches: usize,
+    /// Accounts whose jobs of priority 0 are covered by their guarantee.
+    pub guaranteed: IndexSet<&'a str>,
+    /// Resources that urgent work uses, by service.
+    pub urgent_usage: IndexMap<&'a str, Resources>,
+    /// Accelerators, by service.
+    pub supply: IndexMap<&'a str, Supply>,
+    /// Places reserved for units that have preempted work for them, by the first task of the step.
+    pub reservations: IndexMap<id::Task, Vec<usize>>,
+    /// Placements that failed.
+    pub attempts: Attempts<'a>,
+    /// Running work that may be preempted, by the kind of work for which it may.
+    pub victims: IndexMap<Claim<'a>, Vec<Victim>>,
+}
+
+/// What decides which running work may be preempted for a unit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(super) struct Claim<'a> {
+    priority: u8,
+    /// The account, if the unit is covered by its guarantee.
+    pub guaranteed: Option<Option<&'a str>>,
+}
+
+impl<'a> Claim<'a> {
+    pub fn of(unit: &Unit<'a>) -> Claim<'a> {
+        Claim {
+            priority: unit.priority,
+            guaranteed: (unit.rank == Rank::Guaranteed).then_some(unit.account),
+        }
+    }
+}
+
+impl<'a> Round<'a> {
+    /// Subtracts the resources of a run from its host, if that can take work, and adds them to the urgent usage of its
+    /// service or to the other work of the host.
+    pub fn count_run(&mut self, run: &CountedRun<'a>, position: Option<usize>) {
+        let (step, resources) = (run.step, run.resources);
+        if run.queue.is_some_and(|queue| queue.priority == 0) {
+            let service = run.queue.map_or("", |queue| queue.service.as_str());
+            *self.urgent_usage.entry(service).or_default() += resources;
+        } else if let Some(position) = position {
+            let host = &mut self.hosts[position];
+            host.other_work += resources.accelerators;
+            if !step.gang && !step.lasting {
+                host.single_work += resources;
+            }
+        }
+        let Some(position) = position else {
+            return;
+        };
+        let host = &mut self.hosts[position];
+        host.free -= resources;
+        if !run.stopping {
+            host.free_soon -= resources;
+        }
+        host.has_suspect |= run.suspect;
+        if step.spread.is_some() {
+            host.count_task(run.task);
+        }
+    }
+
+    /// How many tasks of a unit may be started.
+    pub fn allowance(&self, unit: &Unit<'_>) -> usize {
+        let supply = self.supply.get(unit.service);
+        supply.map_or(0, |supply| supply.allowance(unit))
+    }
+
+    /// Reserves resources for tasks of a unit.
+    pub fn reserve(&mut self, unit: &Unit<'_>, places: &[usize]) {
+        for place in places {
+            let host = &mut self.hosts[*place];
+            host.reserve(unit);
+            host.has_suspect |= unit.suspect;
+            if let Some(supply) = self.supply.get_mut(unit.service) {
+                supply.allocate(unit, host.set_aside);
+            }
+        }
+    }
+}
+
+/// Reservations.
+impl Round<'_> {
+    /// Takes back what was reserved for tasks of a unit.
+    pub fn release(&mut self, unit: &Unit<'_>, places: &[usize]) {
+        for place in places {
+            let host = &mut self.hosts[*place];
+            host.free += unit.resources;
+            host.free_soon += unit.resources;
+            if let Some(supply) = self.supply.get_mut(unit.service) {
+                supply.free += unit.resources.accelerators;
+            }
+        }
+    }
+
+    /// Positions of upstreams; none if one of them cannot take work.
+    pub fn places_of(&self, upstreams: &[id::Upstream]) -> Option<Vec<usize>> {
+        let positions = upstreams.iter().map(|id| self.positions.get(id).copied());
+        positions.collect()
+    }
+
+    /// Whether all tasks of a unit fit at these places.
+    pub fn has_slots(&self, unit: &Unit<'_>, places: &[usize], availability: Availability) -> bool {
+        let mut needed: IndexMap<usize, usize> = IndexMap::default();
+        for place in places {
+            *needed.entry(*place).or_default() += 1;
+        }
+        let mut needed = needed.into_iter();
+        needed.all(|(place, count)| self.hosts[place].slots(unit, availability) >= count)
+    }
+}
+
+/// A run whose resources a planning round subtracts.
+pub(super) struct CountedRun<'a> {
+    pub task: id::Task,
+    pub step: &'a Step,
+    /// Queue of its job.
+    pub queue: Option<&'a Queue>,
+    pub resources: Resources,
+    /// Whether it is being stopped.
+    pub stopping: bool,
+    /// Whether it may crash its upstream.
+    pub suspect: bool,
+}
