work, plan, route: bound numbers that callers and upstreams choose

A job with 4 billion occurrences, all of them due, kept a planning round busy for hours: jobs may have 10,000 occurrences, and 64 due ones of a job are considered at once. A departing upstream with sequence u64::MAX panicked where overflow is checked; such announcements and port 0 are refused by the product's own interface too. Lease ends saturate. The new tests hang, panic or accept before.

--- a/crates/daemon/src/requests/members.rs
+++ b/crates/daemon/src/requests/members.rs
@@ -9,6 +9,9 @@
 /// Longest accepted name of an upstream or service in bytes.
 const MAX_NAME_BYTES: usize = 64;
 
+/// Largest accepted sequence number of an announcement, so that the numbers after it are in range.
+const MAX_SEQUENCE: u64 = u64::MAX / 2;
+
 /// The upstreams as the router knows them.
 pub struct Members {
     desk: Arc<Desk>,
@@ -31,15 +34,19 @@
                 ));
             }
         }
-        if upstream.address.parse::<SocketAddr>().is_err() {
+        let address = upstream.address.parse::<SocketAddr>();
+        if address.map_or(true, |address| address.port() == 0) {
             return Err(format!(
-                "`upstream.address` is `{}`; give an IP address and a port",
+                "`upstream.address` is `{}`; give an IP address and a port from 1 to 65535",
                 upstream.address
             ));
         }
         if upstream.slots == 0 || upstream.connections < upstream.slots {
             return Err("`upstream.slots` must be at least 1 and at most `connections`".into());
         }
+        if announcement.sequence > MAX_SEQUENCE {
+            return Err(format!("`sequence` must be at most {MAX_SEQUENCE}"));
+        }
         self.desk.observe(Event::Announced(announcement));
         Ok(())
     }
--- a/crates/plan/src/engine/drain.rs
+++ b/crates/plan/src/engine/drain.rs
@@ -65,7 +65,7 @@
             return;
         }
         let left = upstream.leaving_ms.map(Duration::from_millis);
-        let at = left.map(|left| self.now + left);
+        let at = left.and_then(|left| self.now.checked_add(left));
         self.departures.entry(upstream.id.clone()).or_insert(at);
     }
 
--- a/crates/plan/src/engine/session.rs
+++ b/crates/plan/src/engine/session.rs
@@ -99,7 +99,7 @@
         let elapsed = now.saturating_duration_since(at);
         let lease = Session::lease(settings);
         self.lease_end = self.lease_end.max(now + expired_after(lease));
-        Some(clock_ms + (elapsed + lease).as_millis() as u64)
+        Some(clock_ms.saturating_add((elapsed + lease).as_millis() as u64))
     }
 
     /// The end that the next hold releases, given the last recorded one; 0 if there is nothing new to release.
--- a/crates/plan/src/order/units.rs
+++ b/crates/plan/src/order/units.rs
@@ -14,6 +14,9 @@
 /// for urgent work. Urgent work has about a second of slack for the stop, the commit and its own start.
 const QUICK_STOP: Duration = Duration::from_millis(500);
 
+/// Limit of the occurrences of a job that are considered at once.
+const MAX_DUE: usize = 64;
+
 /// Time for which a task that may have crashed an upstream waits for one that runs nothing else. A task whose turn has
 /// come must not wait for 3 s beside free capacity, as the platform counts it as lost then.
 const ISOLATION_WAIT_MS: u64 = 1500;
@@ -108,6 +111,7 @@
     (0..count)
         .take_while(|number| job.form.repeat.is_none() || job.due_ms(*number) <= time_ms + early_ms)
         .filter(|number| job.is_pending(*number))
+        .take(MAX_DUE)
         .collect()
 }
 
--- a/crates/plan/tests/order.rs
+++ b/crates/plan/tests/order.rs
@@ -207,6 +207,23 @@
     );
 }
 
+/// Guards against a planning round that never ends because a job has billions of occurrences, all of them due.
+#[test]
+fn a_round_considers_a_bounded_number_of_occurrences() {
+    let mut registry = registry();
+    let endless = Definition {
+        repeat: Some(Repeat {
+            count: u32::MAX,
+            first_ms: 0,
+            interval_ms: 1,
+        }),
+        ..form(1)
+    };
+    submit(&mut registry, 1, "other", "normal", endless, 0);
+    let due = units(&registry, u64::MAX / 2).len();
+    assert!((1..1000).contains(&due), "{due}");
+}
+
 /// Guards against an upstream that gets work although all its runs fail, and against one that never gets work again.
 #[test]
 fn a_failing_upstream_is_paused_and_retried() {
--- a/crates/route/src/member/members.rs
+++ b/crates/route/src/member/members.rs
@@ -96,7 +96,7 @@
         };
         let mut announcement = entry.announcement.clone();
         announcement.departing = true;
-        announcement.sequence += 1;
+        announcement.sequence = announcement.sequence.saturating_add(1);
         self.merge(announcement, now, Origin::Direct, now);
         true
     }
--- a/crates/route/tests/members.rs
+++ b/crates/route/tests/members.rs
@@ -227,6 +227,21 @@
     );
 }
 
+/// Guards against a panic on the highest sequence number that an announcement can have.
+#[test]
+fn an_upstream_with_the_highest_sequence_departs() {
+    let now = Instant::now();
+    let mut members = Members::new(1, "north");
+    let announcement = Announcement {
+        upstream: upstream(0),
+        sequence: u64::MAX,
+        departing: false,
+        busy: None,
+    };
+    members.announce(&announcement, now);
+    assert!(members.depart("u0", now));
+}
+
 /// An upstream whose name departed once must become usable again, but not by announcements that were still in
 /// transit when it departed.
 #[test]
--- a/crates/work/src/job/definition.rs
+++ b/crates/work/src/job/definition.rs
@@ -13,6 +13,9 @@
 /// entry.
 const MAX_TASKS: usize = 4096;
 
+/// Limit of the occurrences of a job; those that are due are examined in each planning round.
+const MAX_OCCURRENCES: u32 = 10_000;
+
 /// A job as its caller defines it.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Definition {
@@ -50,6 +53,7 @@
             }
         }
         match &self.repeat {
+            Some(repeat) if repeat.count > MAX_OCCURRENCES => Err(Error::Occurrences(repeat.count)),
             Some(repeat) if repeat.count > 1 && repeat.interval_ms == 0 => Err(Error::Interval),
             _ => Ok(()),
         }
--- a/crates/work/src/job/error.rs
+++ b/crates/work/src/job/error.rs
@@ -16,6 +16,8 @@
     },
     /// The description is longer than 4000 bytes; holds its length.
     Spec(usize),
+    /// The job repeats more than 10,000 times; holds the number of occurrences.
+    Occurrences(u32),
     /// A repeated job has an interval of 0.
     Interval,
 }
@@ -38,6 +40,9 @@
                     "the description has {bytes} bytes; at most 4000 are accepted"
                 )
             }
+            Error::Occurrences(count) => {
+                write!(f, "the job repeats {count} times; give at most 10000")
+            }
             Error::Interval => write!(f, "the job repeats without an interval"),
         }
     }
--- a/crates/work/tests/names.rs
+++ b/crates/work/tests/names.rs
@@ -137,4 +137,13 @@
         ..definition(vec![step(1, &[])])
     };
     assert_eq!(repeated.check(), Err(Error::Interval));
+    let endless = Definition {
+        repeat: Some(Repeat {
+            count: u32::MAX,
+            first_ms: 0,
+            interval_ms: 1,
+        }),
+        ..repeated
+    };
+    assert_eq!(endless.check(), Err(Error::Occurrences(u32::MAX)));
 }
