dispatch: hand leadership over when a step of the engine panics

A panic in a step ended the task that steps the engine, while the replica went on leading: no instance scheduled anything any more, and nothing but the panic message said so. No input is known that causes one. The engine is now discarded, event=engine_failed is logged, and another member takes over; the term gets no second engine, as its calls are still in flight.

--- a/crates/dispatch/src/control/replica.rs
+++ b/crates/dispatch/src/control/replica.rs
@@ -215,7 +215,8 @@
         }
     }
 
-    pub(super) fn transfer_leadership(&self) {
+    /// Hands leadership over to another member, if this instance leads.
+    pub(crate) fn transfer_leadership(&self) {
         if let Some(group) = self.group() {
             group.transfer_leadership();
         }
--- a/crates/dispatch/src/leader/driver.rs
+++ b/crates/dispatch/src/leader/driver.rs
@@ -4,6 +4,7 @@
     model::clock::Clock,
     plan::engine::{Effect, Engine, Event, Settings},
     std::{
+        panic::{self, AssertUnwindSafe},
         sync::{Arc, Mutex, PoisonError},
         time::{Duration, Instant},
     },
@@ -16,6 +17,9 @@
 /// no event was sent.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Interval between two attempts to hand leadership over after the engine has panicked.
+const HAND_OVER_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Limit of events that one step of the engine handles besides the first.
 const MAX_BATCH: usize = 4096;
 
@@ -80,7 +84,15 @@
                 };
                 push(input);
             }
-            self.step_engine(&mut term_engine, oldest, &times);
+            let step = AssertUnwindSafe(|| self.step_engine(&mut term_engine, oldest, &times));
+            if panic::catch_unwind(step).is_err() {
+                term_engine.fail();
+            }
+            if term_engine.has_failed(self.replica.leading_term()) {
+                log::error!("event=engine_failed action=hand_over");
+                self.replica.transfer_leadership();
+                time::sleep(HAND_OVER_INTERVAL).await;
+            }
         }
     }
 
--- a/crates/dispatch/src/leader/term_engine.rs
+++ b/crates/dispatch/src/leader/term_engine.rs
@@ -9,6 +9,8 @@
     engine: Option<(u64, Engine)>,
     /// Events with the term of the engine that they are for; 0 stands for any term.
     pending: Vec<(u64, Event)>,
+    /// Term whose engine has panicked.
+    failed_term: Option<u64>,
 }
 
 impl TermEngine {
@@ -19,6 +21,19 @@
         }
     }
 
+    /// Discards the engine after a panic. Its term gets no other engine, so the leadership must be handed over.
+    pub fn fail(&mut self) {
+        if let Some((term, _)) = self.engine.take() {
+            self.failed_term = Some(term);
+        }
+        self.pending.clear();
+    }
+
+    /// Whether the engine of this term has panicked.
+    pub fn has_failed(&self, term: Option<u64>) -> bool {
+        term.is_some() && self.failed_term == term
+    }
+
     /// Returns the engine of the term in which this instance leads, and its events; `None` if it does not lead. A new
     /// term gets a new engine.
     ///
@@ -30,7 +45,7 @@
         term: Option<u64>,
         new_engine: impl FnOnce() -> Engine,
     ) -> Option<(u64, &mut Engine, Vec<Event>)> {
-        let term = term?;
+        let term = term.filter(|term| self.failed_term != Some(*term))?;
         if self.engine.as_ref().map(|(term, _)| *term) != Some(term) {
             if let Some((term, engine)) = self.engine.take() {
                 log::info!("event=lead_ended term={term} runs={}", engine.live_runs());
--- a/crates/dispatch/tests/term_engine.rs
+++ b/crates/dispatch/tests/term_engine.rs
@@ -29,3 +29,15 @@
     let (term, _, events) = term_engine.for_term(Some(3), new_engine).unwrap();
     assert_eq!((term, events.len(), created.get()), (3, 0, 2));
 }
+
+/// Guards against a leader that stops scheduling for good, while it goes on leading, after a panic in a step.
+#[test]
+fn a_failed_engine_ends_with_its_term() {
+    let new_engine = || Engine::new(Settings::default(), Instant::now());
+    let mut term_engine = TermEngine::default();
+    assert!(term_engine.for_term(Some(2), new_engine).is_some());
+    term_engine.fail();
+    assert!(term_engine.has_failed(Some(2)) && !term_engine.has_failed(None));
+    assert!(term_engine.for_term(Some(2), new_engine).is_none());
+    assert!(term_engine.for_term(Some(3), new_engine).is_some());
+}
