plan: keep the usage of upstreams between rounds

Each planning round still counted all runs anew, 20 % of the leader's time with 4,000 of them. The usage of an upstream is kept until a run there begins, ends, moves, is told to stop or makes its first progress, or the configuration changes.

--- a/crates/plan/src/engine/engine.rs
+++ b/crates/plan/src/engine/engine.rs
@@ -2,7 +2,7 @@
     super::{
         Effect, Effort, Event, Failure, Refusal, Settings, Target, addresses::Addresses,
         advice::Advice, drain::Departures, reservations::Reservation, session::Session,
-        tracked_run::TrackedRun,
+        tracked_run::TrackedRun, usage::Usage,
     },
     crate::{
         headroom::Headroom,
@@ -100,6 +100,10 @@
     pub(super) departures: Departures,
     /// Places for which work was preempted, by the first task of the step that they are reserved for.
     pub(super) reservations: IndexMap<id::Task, Reservation>,
+    /// Usage of the upstreams with runs; those on which something has changed are missing until the next round.
+    pub(super) usages: IndexMap<id::Upstream, Usage>,
+    /// Version of the configuration for which `usages` hold.
+    pub(super) usage_config_version: Option<u64>,
     /// Headroom for urgent work, by service.
     pub(super) headroom: IndexMap<String, Headroom>,
     /// Entries examined since [`Engine::take_effort`] was last called.
@@ -141,6 +145,8 @@
             next_report: now,
             departures: Departures::default(),
             reservations: IndexMap::default(),
+            usages: IndexMap::default(),
+            usage_config_version: None,
             headroom: IndexMap::default(),
             effort: Effort::default(),
         }
--- a/crates/plan/src/engine/hold.rs
+++ b/crates/plan/src/engine/hold.rs
@@ -186,11 +186,13 @@
             .map(|running| ((running.task, running.run), running))
             .collect();
         self.stop_strays(registry, id, &running.keys().copied().collect::<Vec<_>>());
+        let mut has_first_progress = false;
         for (key, running) in &running {
             if let Some(tracked) = self.tracked_runs.get_mut(key)
                 && tracked.upstream == *id
             {
                 if running.percent != tracked.percent || !tracked.is_listed {
+                    has_first_progress |= tracked.percent == 0;
                     tracked.percent = running.percent;
                     tracked.progressed_at = now;
                 }
@@ -203,6 +205,9 @@
                 }
             }
         }
+        if has_first_progress {
+            self.discard_usage(id);
+        }
         self.propose_ends(registry, id, &listing.ended);
         self.void_absent_runs(
             registry,
--- a/crates/plan/src/engine/mod.rs
+++ b/crates/plan/src/engine/mod.rs
@@ -19,6 +19,7 @@
 mod settings;
 mod sync;
 mod tracked_run;
+mod usage;
 
 pub use {
     drain::Drain,
--- a/crates/plan/src/engine/planning.rs
+++ b/crates/plan/src/engine/planning.rs
@@ -3,7 +3,7 @@
         Engine,
         engine::RunKey,
         obstacle::Obstacle,
-        round::{Claim, CountedRun, Round},
+        round::{Claim, Round},
     },
     crate::{
         headroom::{self, Headroom},
@@ -130,8 +130,9 @@
             victims: IndexMap::default(),
         };
         self.effort.rounds += 1;
-        self.effort.planned += (round.hosts.len() + self.tracked_runs.len()) as u64;
-        self.subtract_usage(&mut round);
+        self.effort.planned += round.hosts.len() as u64;
+        self.refresh_usages(registry);
+        self.subtract_usages(&mut round);
         round.idle = idle_services(&round.hosts);
         if self.settings.keeps_headroom {
             self.reserve_headroom(&mut round);
@@ -155,58 +156,6 @@
         }
     }
 
-    /// Subtracts the resources of runs that are live, proposed or being stopped.
-    fn subtract_usage<'a>(&self, round: &mut Round<'a>) {
-        let registry = round.registry;
-        for (upstream, runs) in registry.live_runs() {
-            let position = round.positions.get(upstream).copied();
-            for (key, live) in runs {
-                let Some(job) = registry.job(key.0.job) else {
-                    continue;
-                };
-                let Some(step) = job.step(&key.0) else {
-                    continue;
-                };
-                let tracked = self.tracked_runs.get(key);
-                let has_progress = tracked.is_some_and(|tracked| tracked.percent > 0);
-                let run = CountedRun {
-                    task: key.0,
-                    step,
-                    queue: registry.queue(&job.queue),
-                    resources: live.resources,
-                    stopping: tracked.is_some_and(|tracked| tracked.stopping.is_some()),
-                    suspect: !has_progress && is_suspect(registry, &key.0),
-                };
-                round.count_run(&run, position);
-            }
-        }
-        for placement in self.proposed_placements.values().flatten() {
-            let Some(position) = round.positions.get(&placement.upstream).copied() else {
-                continue;
-            };
-            let task = placement.task;
-            // An applied placement is among the runs above.
-            let is_applied = registry
-                .task(&task)
-                .is_some_and(|task| !task.live.is_empty());
-            let (Some(job), Some(step)) = (registry.job(task.job), registry.step(&task)) else {
-                continue;
-            };
-            if is_applied {
-                continue;
-            }
-            let run = CountedRun {
-                task,
-                step,
-                queue: registry.queue(&job.queue),
-                resources: step.reserved(),
-                stopping: false,
-                suspect: is_suspect(registry, &task),
-            };
-            round.count_run(&run, Some(position));
-        }
-    }
-
     /// Assigns a gang, or preempts other work for it. Returns what keeps it waiting, if it is not assigned.
     fn plan_gang<'a>(&mut self, round: &mut Round<'a>, unit: &Unit<'a>) -> Option<Obstacle> {
         if round.allowance(unit) < unit.tasks.len() {
@@ -468,12 +417,6 @@
     }
 }
 
-/// Whether the task may have crashed an upstream.
-fn is_suspect(registry: &Registry, task: &id::Task) -> bool {
-    let progress = registry.task(task);
-    progress.is_some_and(|progress| progress.losses.is_suspect())
-}
-
 fn idle_services<'a>(hosts: &[Host<'a>]) -> IndexMap<&'a str, bool> {
     let mut totals: IndexMap<&str, (Resources, Resources)> = IndexMap::default();
     for host in hosts {
--- a/crates/plan/src/engine/round.rs
+++ b/crates/plan/src/engine/round.rs
@@ -8,9 +8,8 @@
     },
     work::{
         collections::{IndexMap, IndexSet},
-        config::Queue,
         id,
-        job::{Resources, Step},
+        job::Resources,
         registry::Registry,
     },
 };
@@ -60,35 +59,7 @@
     }
 }
 
-impl<'a> Round<'a> {
-    /// Subtracts the resources of a run from its host, if that can take work, and adds them to the urgent usage of its
-    /// service or to the other work of the host.
-    pub fn count_run(&mut self, run: &CountedRun<'a>, position: Option<usize>) {
-        let (step, resources) = (run.step, run.resources);
-        if run.queue.is_some_and(|queue| queue.priority == 0) {
-            let service = run.queue.map_or("", |queue| queue.service.as_str());
-            *self.urgent_usage.entry(service).or_default() += resources;
-        } else if let Some(position) = position {
-            let host = &mut self.hosts[position];
-            host.other_work += resources.accelerators;
-            if !step.gang && !step.lasting {
-                host.single_work += resources;
-            }
-        }
-        let Some(position) = position else {
-            return;
-        };
-        let host = &mut self.hosts[position];
-        host.free -= resources;
-        if !run.stopping {
-            host.free_soon -= resources;
-        }
-        host.has_suspect |= run.suspect;
-        if step.spread.is_some() {
-            host.count_task(run.task);
-        }
-    }
-
+impl Round<'_> {
     /// Counts the accelerators of each service.
     pub fn count_supply(&mut self) {
         for host in &self.hosts {
@@ -171,16 +142,3 @@
         needed.all(|(place, count)| self.hosts[place].slots(unit, availability) >= count)
     }
 }
-
-/// A run whose resources a planning round subtracts.
-pub(super) struct CountedRun<'a> {
-    pub task: id::Task,
-    pub step: &'a Step,
-    /// Queue of its job.
-    pub queue: Option<&'a Queue>,
-    pub resources: Resources,
-    /// Whether it is being stopped.
-    pub stopping: bool,
-    /// Whether it may crash its upstream.
-    pub suspect: bool,
-}
--- a/crates/plan/src/engine/runs.rs
+++ b/crates/plan/src/engine/runs.rs
@@ -239,6 +239,8 @@
                 confirmed: None,
                 next: now,
             });
+            let upstream = tracked.upstream.clone();
+            self.discard_usage(&upstream);
             self.stops.push(key);
         }
     }
--- a/crates/plan/src/engine/sync.rs
+++ b/crates/plan/src/engine/sync.rs
@@ -46,6 +46,7 @@
                     upstream,
                 } => {
                     runs.insert((*task, *run));
+                    self.discard_usage(upstream);
                     if let Some(session) = self.sessions.get_mut(upstream) {
                         session.may_need_hold = true;
                     }
@@ -94,6 +95,7 @@
         } else {
             self.record_departures(registry);
         }
+        self.usages.clear();
         let mut runs: IndexSet<RunKey> = self.tracked_runs.keys().copied().collect();
         runs.extend(registry.allocations().map(|(_, key, _)| *key));
         for key in runs {
@@ -183,6 +185,7 @@
     /// Discards the stops sent to an upstream that has restarted, so that they are ordered again where needed: its new
     /// incarnation does not know the stops that the earlier one confirmed.
     fn reset_stops(&mut self, registry: &Registry, upstream: &id::Upstream) {
+        self.discard_usage(upstream);
         for (key, _) in registry.allocations_on(upstream) {
             if let Some(tracked) = self.tracked_runs.get_mut(key) {
                 tracked.stopping = None;
