--- a/crates/dispatch/src/control/control.rs
+++ b/crates/dispatch/src/control/control.rs
@@ -156,7 +156,7 @@
     /// instance has a limited number of file descriptors.
     pub fn heartbeat_target(&self, upstream: &id::Upstream) -> Option<u64> {
         let view = self.shared.replica.view();
-        let known = self.shared.replica.state()?.registry().upstreams().count();
+        let known = self.shared.replica.state()?.registry().upstream_count();
         if known <= MAX_DIRECT_UPSTREAMS || view.members.voters.is_empty() {
             return view.leader;
         }
--- a/crates/work/src/registry/registry.rs
+++ b/crates/work/src/registry/registry.rs
@@ -82,6 +82,11 @@
         self.upstreams.values().map(|record| &record.upstream)
     }
 
+    /// Number of registered upstreams.
+    pub fn upstream_count(&self) -> usize {
+        self.upstreams.len()
+    }
+
     /// A registered upstream by id.
     pub fn upstream(&self, id: &id::Upstream) -> Option<&Upstream> {
         self.upstreams.get(id).map(|record| &record.upstream)
