plan: check again whether reserved places may take the gang

Found by reading: places that were reserved for a gang were taken without asking again whether the policy service still allows them and whether they still accept the unit, for example if it may have crashed an upstream meanwhile.

--- a/crates/plan/src/engine/reservations.rs
+++ b/crates/plan/src/engine/reservations.rs
@@ -79,7 +79,8 @@
         locality: Locality,
     ) -> Option<Vec<usize>> {
         round.release(unit, &reserved);
-        if round.has_slots(unit, &reserved, Availability::Now) {
+        let is_allowed = reserved.iter().all(|place| allowed[*place]);
+        if is_allowed && round.has_slots(unit, &reserved, Availability::Now) {
             return Some(reserved);
         }
         let places = place::gang(unit, &round.hosts, allowed, Availability::Now, locality);
--- a/crates/plan/src/engine/round.rs
+++ b/crates/plan/src/engine/round.rs
@@ -132,13 +132,16 @@
         positions.collect()
     }
 
-    /// Whether all tasks of a unit fit at these places.
+    /// Whether these places accept the unit and all of its tasks fit there.
     pub fn has_slots(&self, unit: &Unit<'_>, places: &[usize], availability: Availability) -> bool {
         let mut needed: IndexMap<usize, usize> = IndexMap::default();
         for place in places {
             *needed.entry(*place).or_default() += 1;
         }
         let mut needed = needed.into_iter();
-        needed.all(|(place, count)| self.hosts[place].slots(unit, availability) >= count)
+        needed.all(|(place, count)| {
+            let host = &self.hosts[place];
+            host.accepts(unit) && host.slots(unit, availability) >= count
+        })
     }
 }
