--- a/crates/sim/src/oracle.rs
+++ b/crates/sim/src/oracle.rs
@@ -33,6 +33,8 @@
     Lapsed(id::Task),
     /// A job had nothing running for long although there was room.
     Idle(id::Job),
+    /// A task was started without a valid decision of the policy service.
+    Unpermitted(id::Task),
     /// A job is shown as ended otherwise than its tasks did.
     Shown(id::Job),
 }
--- a/crates/sim/src/world/runs.rs
+++ b/crates/sim/src/world/runs.rs
@@ -1,7 +1,7 @@
 use {
     super::{World, happening::Happening},
     crate::{
-        Nature, Trouble, Truth,
+        Breach, Nature, Trouble, Truth,
         upstream::{Run, saved_ms},
     },
     plan::engine::{Refusal, Start},
@@ -23,6 +23,10 @@
         let now_ms = self.now_ms;
         let upstream = self.upstreams.get_mut(id).ok_or(Refusal::OtherLife)?;
         let clock = Some(upstream.clock_ms(now_ms));
+        if self.setup.advice_valid_ms.is_some() && order.ticket.is_none() {
+            self.oracle.breaches.push(Breach::Unpermitted(order.task));
+            return Err(Refusal::Ticket);
+        }
         if !upstream.start(order, term, now_ms)? {
             return Ok(clock);
         }
--- a/crates/sim/src/world/setup.rs
+++ b/crates/sim/src/world/setup.rs
@@ -2,7 +2,7 @@
     super::Processor,
     crate::{Faults, Load, Trouble},
     plan::engine::Settings,
-    work::config::{Account, Config, Queue, Service},
+    work::config::{Account, Advice, Config, Queue, Service},
 };
 
 /// What a world is made of.
@@ -24,6 +24,8 @@
     pub troubles: Vec<(u64, Trouble)>,
     /// Seed of delays and faults.
     pub seed: u64,
+    /// Time in milliseconds for which decisions of the policy service are valid; none if work needs no such decision.
+    pub advice_valid_ms: Option<u64>,
     /// Processor time of the leader; none by default.
     pub processor: Processor,
     /// Bounds of the engine.
@@ -41,6 +43,7 @@
             faults: Faults::default(),
             troubles: Vec::new(),
             seed: 1,
+            advice_valid_ms: None,
             processor: Processor::default(),
             settings: Settings::default(),
         }
@@ -60,7 +63,10 @@
         priority: number as u8,
         attempts: 4,
         public: false,
-        advice: None,
+        advice: setup.advice_valid_ms.map(|valid_ms| Advice {
+            valid_ms,
+            ..Advice::default()
+        }),
     });
     let accounts = (0..setup.accounts).map(|number| Account {
         name: format!("account-{number}"),
--- a/crates/sim/src/world/world.rs
+++ b/crates/sim/src/world/world.rs
@@ -23,6 +23,9 @@
 /// Commit of a proposal, in milliseconds.
 const COMMIT_MS: f64 = 12.0;
 
+/// Time that the policy service takes for a decision, in milliseconds.
+const ADVICE_MS: f64 = 150.0;
+
 /// Interval of looks without an event, in milliseconds.
 const TICK_MS: f64 = 50.0;
 
@@ -315,7 +318,15 @@
                 target,
                 order,
             } => self.send(call, target, Order::Stop(order)),
-            Effect::Advise { .. } => {}
+            // The policy service allows everything.
+            Effect::Advise {
+                call, upstreams, ..
+            } => {
+                let rows = upstreams.into_iter().map(|id| (id, "ticket".to_owned()));
+                let answer = Ok(rows.collect());
+                let event = Event::AdviceAnswered { call, answer };
+                self.at(self.now_ms + ADVICE_MS, Happening::Answer { term, event });
+            }
         }
     }
 
--- a/crates/sim/tests/preemption.rs
+++ b/crates/sim/tests/preemption.rs
@@ -94,3 +94,27 @@
     assert!(stopped <= needed, "{:?}", report.wasted);
     assert_eq!(report.on_time("short"), 1.0, "{report}");
 }
+
+/// Guards against a gang that is started on its reserved places although the decisions of the policy service about them
+/// have expired while the preempted work was stopping: its starts are refused.
+#[test]
+fn reserved_places_need_a_valid_decision() {
+    let load = Load {
+        length_ms: 0,
+        ..Load::planning()
+    };
+    let setup = Setup {
+        upstreams: RACK,
+        rack: RACK,
+        guaranteed: 0,
+        advice_valid_ms: Some(400),
+        ..Setup::default()
+    };
+    let mut world = World::new(setup, load);
+    let whole_rack = step(RACK as u16, 8, true);
+    world.submit(arrival(1, 100, LONG, LONG_WORK_MS, whole_rack.clone()));
+    world.submit(arrival(2, 2000, URGENT, 2000, whole_rack));
+    world.run_until(30_000);
+    let (_, oracle) = world.finish();
+    assert_eq!(oracle.breaches, vec![]);
+}
