plan: stop the rest of a gang when a member is found missing

A gang that has lost a member without a listed end can only begin again, so its other members are stopped at once. The test fails before: still run 1 after 1.5 s.

--- a/crates/plan/src/engine/hold.rs
+++ b/crates/plan/src/engine/hold.rs
@@ -379,6 +379,8 @@
                     Void::Absent
                 };
                 self.void(key, reason);
+                // The other members would wait for this one in vain.
+                self.stop_gang(registry, key, "member_lost");
             } else if is_restarted
                 && tracked.stopping.is_none()
                 && !matches!(tracked.phase, Phase::Sending { .. })
--- a/crates/plan/tests/loss/cluster.rs
+++ b/crates/plan/tests/loss/cluster.rs
@@ -146,6 +146,13 @@
         self.engine = Engine::new(Settings::default(), self.now());
     }
 
+    /// Removes a run of the task without an end, as if its start had been lost with the leader that sent it.
+    pub fn lose_start(&mut self, task: id::Task) {
+        for node in &mut self.nodes {
+            node.running.retain(|(other, _), _| *other != task);
+        }
+    }
+
     /// Changes the capacity of an upstream, as its next heartbeat reports it.
     pub fn set_accelerators(&mut self, index: usize, accelerators: i64) {
         self.nodes[index].accelerators = accelerators;
--- a/crates/plan/tests/loss/main.rs
+++ b/crates/plan/tests/loss/main.rs
@@ -1,6 +1,7 @@
-//! Upstreams that crash, that cannot be reached, or whose capacity changes.
+//! Upstreams that crash, that cannot be reached, or whose capacity changes, and gangs that have lost a member.
 
 mod capacity;
 mod cluster;
 mod crash;
 mod cut;
+mod gang;
