--- a/crates/sim/tests/large.rs
+++ b/crates/sim/tests/large.rs
@@ -10,30 +10,26 @@
 /// Number of upstreams.
 const UPSTREAMS: usize = 1100;
 
+/// Number of days with which headroom is compared.
+const HEADROOM_SEEDS: u64 = 4;
+
 /// Interval in milliseconds in which a run is checked at most once.
 const MIN_CHECK_INTERVAL_MS: u64 = 60;
 
 /// The large planning platform with 1.2 times its load, a burst of short gangs, and a seventh of the upstreams leaving
 /// at short notice.
-fn world(processor: Processor) -> World {
-    let load = Load {
-        scale: 1.2,
-        burst: Some((0, 2000, 7000, 2.0)),
-        length_ms: 14_000,
-        ..Load::large_planning()
-    };
+fn setup() -> Setup {
     let leaving = (0..UPSTREAMS).step_by(7).map(|number| {
         let id = id::Upstream::from(format!("u{number}"));
         (8000, Trouble::Leaving(id, 1500))
     });
-    let setup = Setup {
+    Setup {
         upstreams: UPSTREAMS,
         rack: 20,
         memory_mb: 131_072,
         accounts: 24,
         guaranteed: 226,
         troubles: leaving.collect(),
-        processor,
         settings: engine::Settings {
             max_lease: Duration::from_millis(10_000),
             stop_timeout: Duration::from_millis(900),
@@ -42,6 +38,15 @@
             ..engine::Settings::default()
         },
         ..Setup::default()
+    }
+}
+
+fn world(setup: Setup) -> World {
+    let load = Load {
+        scale: 1.2,
+        burst: Some((0, 2000, 7000, 2.0)),
+        length_ms: 14_000,
+        ..Load::large_planning()
     };
     World::new(setup, load)
 }
@@ -50,7 +55,7 @@
 /// time, and examines all upstreams for each unit that waits: it has no processor time left for anything else.
 #[test]
 fn steps_examine_what_has_changed() {
-    let mut world = world(Processor::default());
+    let mut world = world(setup());
     world.run_until(5000);
     world.take_effort();
     let revision = world.book().revision();
@@ -72,8 +77,8 @@
     );
 }
 
-fn day(processor: Processor) -> Report {
-    let mut world = world(processor);
+fn day(setup: Setup) -> Report {
+    let mut world = world(setup);
     world.run_until(40_000);
     let (report, oracle) = world.finish();
     assert_eq!(oracle.breaches, vec![]);
@@ -87,7 +92,11 @@
         per_entry: Duration::from_micros(2),
         per_event: Duration::from_micros(100),
     };
-    let (free, busy) = (day(Processor::default()), day(busy));
+    let free = day(setup());
+    let busy = day(Setup {
+        processor: busy,
+        ..setup()
+    });
     let lost = free.served() - busy.served();
     assert!(
         lost < 0.03,
@@ -96,3 +105,27 @@
         free.served()
     );
 }
+
+/// Guards against accelerators that are kept free beside waiting gangs without being worth it.
+#[test]
+fn headroom_is_worth_more_than_filling_it_at_this_size() {
+    let net = |keeps_headroom: bool| -> f64 {
+        let days: Vec<_> = (0..HEADROOM_SEEDS)
+            .map(|seed| {
+                let setup = Setup {
+                    seed,
+                    settings: engine::Settings {
+                        keeps_headroom,
+                        ..setup().settings
+                    },
+                    ..setup()
+                };
+                std::thread::spawn(move || day(setup).net())
+            })
+            .collect();
+        let nets = days.into_iter().map(|day| day.join().unwrap());
+        nets.sum::<f64>() / HEADROOM_SEEDS as f64
+    };
+    let (with, without) = (net(true), net(false));
+    assert!(with > without, "{with:.3} against {without:.3}");
+}
