--- a/crates/plan/src/engine/round.rs
+++ b/crates/plan/src/engine/round.rs
@@ -47,7 +47,7 @@
 pub(super) struct Claim<'a> {
     priority: u8,
     /// The account, if the unit is covered by its guarantee.
-    pub guaranteed: Option<Option<&'a str>>,
+    guaranteed: Option<Option<&'a str>>,
 }
 
 impl<'a> Claim<'a> {
