plan: send no second start to an upstream that a task may have crashed

The start of a task that may have crashed an upstream is sent again only if the same incarnation has been heard from since; otherwise the next hold tells that the upstream is another one, and the loss is counted.

--- a/crates/plan/src/engine/runs.rs
+++ b/crates/plan/src/engine/runs.rs
@@ -4,7 +4,7 @@
         engine::RunKey,
         tracked_run::{Phase, RESEND_DELAY, StopOrder, TrackedRun},
     },
-    std::time::Duration,
+    std::time::{Duration, Instant},
     work::{
         id,
         registry::{Placement, Registry, State, Void},
@@ -362,11 +362,27 @@
         if tracked.start_attempts >= MAX_START_ATTEMPTS || (gang && waited > limit) {
             self.stop(key, "start_unanswered");
             self.stop_gang(registry, key, "member_unanswered");
-        } else {
+        } else if self.may_send_again(registry, key, next) {
             self.send_start(registry, key);
         }
     }
 
+    /// Whether the start of a run may be sent again, which is due at `next`. A task that may have crashed an upstream may
+    /// have crashed this one too, unless that was heard from since.
+    fn may_send_again(&self, registry: &Registry, key: RunKey, next: Instant) -> bool {
+        let progress = registry.task(&key.0);
+        if !progress.is_some_and(|progress| progress.losses.is_suspect()) {
+            return true;
+        }
+        let Some(tracked) = self.tracked_runs.get(&key) else {
+            return false;
+        };
+        let session = self.sessions.get(&tracked.upstream);
+        session.is_some_and(|session| {
+            session.born_ms == tracked.born_ms && session.last_heard + RESEND_DELAY > next
+        })
+    }
+
     /// Stops a stalled run, so that its task runs on another upstream.
     fn check_progress(&mut self, registry: &Registry, key: RunKey) {
         let now = self.now;
--- a/crates/sim/tests/promises.rs
+++ b/crates/sim/tests/promises.rs
@@ -97,6 +97,13 @@
     }
 }
 
+/// Guards against a start that is sent again to the upstream which it has crashed: its answer was lost, and the task had
+/// been lost with upstreams before.
+#[test]
+fn a_day_with_crashing_tasks_that_failed_before_holds() {
+    assert_eq!(breaches(643, deadly_load()), vec![]);
+}
+
 /// Traces the day of `SIM_TRACE`; does nothing without it.
 #[test]
 fn trace() {
