review: case 1 also for a gang and for a job that lasts

A gang whose members see one crash at most is shown as failed after three crashes, a job that lasts after two.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,6 +1,6 @@
-"""A minion is cut off, crashes and starts again, twice, while it runs the same task. Its job must not become `failed`.
+"""Minions are cut off, crash and start again while they run a job's tasks. The job must not be shown as `failed`.
 
-First a job of one task, then a job that lasts (`longRunning`).
+Three jobs, one after the other: a gang whose members each see one crash at most; a job that lasts; a job of one task.
 """
 
 import asyncio
@@ -15,30 +15,36 @@
 
 # One of 8 minions at a time: 0.125 of them, where the site has `node_cut` of servers with 0.17 for 5.5 s.
 MINIONS = 8
-CRASHES = 2
 # Time from a start to the cut with the crash, from there to the next life, and length of the cut.
 AFTER_S, DOWN_S, CUT_S = 0.4, 1.0, 2.0
 ATTEMPTS = 4
-STEP = {"count": 1, "cpu": 13000, "memMb": 26000, "gpu": 1, "estimateMs": 6000}
-PLAIN = "/load/00000000000000a1"
-LASTING = "/load/00000000000000a2"
+STEP = {"cpu": 13000, "memMb": 26000, "estimateMs": 6000}
+GANG, LASTING, PLAIN = "/load/00000000000000a1", "/load/00000000000000a2", "/load/00000000000000a3"
+WIDTH = 6
+ENDS = ("completed", "failed", "cancelled", "410")
 
 
 def name(path):
     return path.rsplit("/", 1)[1]
 
 
-async def crash_under(path, record, world, minions):
-    """Crashes the minion that runs the job, as often as allowed, each time shortly after the start."""
-    for _ in range(CRASHES):
-        if not await standin.wait_for(lambda: world.running(name(path)), 10):
+async def crash_under(path, times, record, client, world, minions):
+    """Crashes a minion that runs the job, so many times, each shortly after a start; of a gang another member's."""
+    for number in range(times):
+        def running():
+            found = world.running(name(path))
+            return found if len(found) in (1, WIDTH) else []
+
+        if not await standin.wait_for(running, 12):
             return
         await asyncio.sleep(AFTER_S)
-        running = world.running(name(path))
-        if not running:
+        found = running()
+        if not found or await client.state(path) in ENDS:
             return
-        victim = next(minion for minion in minions if minion.id == running[0]["minion"])
+        run = min(found, key=lambda run: (run["task"] != f"{name(path)}.0.0.{number}", run["task"]))
+        victim = next(minion for minion in minions if minion.id == run["minion"])
         victim.cut(CUT_S)
+        record.line(f"{victim.id} runs {run['task']} and crashes")
         await victim.crash()
         await asyncio.sleep(DOWN_S)
         await victim.start()
@@ -48,13 +54,19 @@
 async def judge(path, record, client, world, ends, within):
     """Asks for the state until it is one of `ends` or the time is over; returns whether the rule held."""
     state = "running"
-    for _ in range(int(within)):
+    for _ in range(within):
         await asyncio.sleep(1.0)
         state = await client.state(path)
         if state in ends:
             break
-    failed = sum(run["how"] == "failed" for run in world.starts(name(path)))
-    record.line(f"{path}: state {state}; runs that ended `failed`: {failed} of {ATTEMPTS} attempts; "
+    runs = world.starts(name(path))
+    failed = sum(run["how"] == "failed" for run in runs)
+    crashes = {}
+    for run in runs:
+        if run["how"] == "crash":
+            crashes[run["task"]] = crashes.get(run["task"], 0) + 1
+    record.line(f"{path}: state {state}; runs that ended `failed`: {failed}, where {ATTEMPTS} attempts are allowed; "
+                f"most crashes under one task: {max(crashes.values(), default=0)}; "
                 f"running now: {len(world.running(name(path)))}")
     return not (state in ("failed", "cancelled", "410") and failed < ATTEMPTS)
 
@@ -62,19 +74,20 @@
 async def case(record, cluster, world, client, trouble):
     minions = await standin.add_minions(cluster, world, MINIONS)
     await asyncio.sleep(2.0)
-    job = {"spec": json.dumps({"ms": 6000}), "steps": [STEP]}
-    if not await client.submit(PLAIN, job):
-        raise standin.CannotRun("the first job was not accepted")
-    if trouble:
-        await crash_under(PLAIN, record, world, minions)
-    held = await judge(PLAIN, record, client, world, ("completed", "failed", "cancelled", "410"), 25)
-
-    job = {"spec": json.dumps({"ms": 600000}), "longRunning": True, "steps": [STEP]}
-    if not await client.submit(LASTING, job):
-        raise standin.CannotRun("the job that lasts was not accepted")
-    if trouble:
-        await crash_under(LASTING, record, world, minions)
-    held &= await judge(LASTING, record, client, world, ("failed", "cancelled", "410"), 14)
+    held = True
+    gang = {**STEP, "count": WIDTH, "gpu": 8, "gang": True}
+    single = {**STEP, "count": 1, "gpu": 1}
+    jobs = [
+        (GANG, {"spec": json.dumps({"ms": 6000, "gang": WIDTH}), "steps": [gang]}, 5, ENDS, 14),
+        (LASTING, {"spec": json.dumps({"ms": 600000}), "longRunning": True, "steps": [single]}, 2, ENDS, 8),
+        (PLAIN, {"spec": json.dumps({"ms": 6000}), "steps": [single]}, 2, ENDS, 14),
+    ]
+    for path, job, crashes, ends, within in jobs:
+        if not await client.submit(path, job):
+            raise standin.CannotRun("a job was not accepted")
+        if trouble:
+            await crash_under(path, crashes, record, client, world, minions)
+        held &= await judge(path, record, client, world, ends, within)
     for line in cluster.log_lines("event=job_ended") + cluster.log_lines("event=run_void"):
         record.line(f"log of {line}")
     return held
--- a/review/common/standin.py
+++ b/review/common/standin.py
@@ -321,7 +321,14 @@
         while (spent := time.monotonic() - began) < total:
             run["percent"] = int(100 * spent / total)
             await asyncio.sleep(min(0.05, total - spent))
-        await self.end(run, "failed" if spec.get("fail") else "done")
+        if width and not spec.get("fail"):
+            # The members of a gang end `done` together.
+            for minion in self.world.minions:
+                for other in list(minion.runs.values()) if minion.up else []:
+                    if minion.gang_key(other) == self.gang_key(run):
+                        await minion.end(other, "done")
+        else:
+            await self.end(run, "failed" if spec.get("fail") else "done")
 
     async def end(self, run, how):
         key = (run["task"], run["run"])
@@ -609,6 +616,11 @@
 
 def main(case, folder):
     """Runs a case: `case(record, cluster, world, client, trouble)` returns whether the rule held."""
+    def stop(*_):
+        raise KeyboardInterrupt
+
+    # The processes that were started are ended too if this one is told to end.
+    signal.signal(signal.SIGTERM, stop)
     record = Record(folder)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.line(f"disruption {'on' if trouble else 'off'}")
