--- a/review/common/standin.py
+++ b/review/common/standin.py
@@ -25,7 +25,26 @@
 HEARTBEAT_MS = 1500
 CHECKPOINT_S = 1.0
 
-CONTROL_PORT, FRONT_PORT, READY_PORT, INTERNAL_PORT, MINION_PORT = 18526, 18521, 18523, 17000, 18080
+PORTS = 24
+
+
+def free_ports():
+    """The first of some ports that are free, also of listeners on all addresses; all instances and minions use the same ones."""
+    while True:
+        first = random.randrange(10_000, 31_000)
+        try:
+            for port in range(first, first + PORTS):
+                with socket.socket() as probe:
+                    probe.bind(("127.0.0.1", port))
+            return first
+        except OSError:
+            continue
+
+
+CONTROL_PORT = free_ports()
+FRONT_PORT, READY_PORT, MINION_PORT, CLAIM_PORT = (CONTROL_PORT + number for number in range(1, 5))
+# The first of 16 ports for the calls between instances.
+INTERNAL_PORT = CONTROL_PORT + 8
 
 
 class CannotRun(Exception):
@@ -507,7 +526,7 @@
     for block in blocks:
         claim = socket.socket()
         try:
-            claim.bind((f"127.78.{block}.254", INTERNAL_PORT + 99))
+            claim.bind((f"127.78.{block}.254", CLAIM_PORT))
             claim.listen()
             return claim, block
         except OSError:
