plan: keep jobs whose upstreams were cut off or crashed under different members

A task whose upstreams were cut off five times was given up as one that crashes its upstreams; so was a gang after three crashes, each under another member.

Cause: a run whose lease ended on an unreachable upstream was recorded as a possible crash at that moment, when a cut and a crash look alike, and the record was never taken back. The registry gives a task up after five losses, and adds up the losses of all members of a gang.

The leader now keeps the loss until the upstream answers again: the same incarnation was cut off, so the loss is dropped; a later one, or another upstream at the address, confirms the crash, and the next lost run of the task records it. The loss for which a gang would be given up is recorded only under a member that was lost before.

The cluster of the test breaks a gang with a lost member now.

--- a/crates/plan/src/engine/crash.rs
+++ b/crates/plan/src/engine/crash.rs
@@ -40,7 +40,7 @@
                 .map(|(key, _)| *key)
                 .collect();
             for key in runs {
-                self.void(key, Void::Replaced);
+                self.void(registry, key, Void::Replaced);
             }
             self.updates.push(Update::Forget {
                 upstream: earlier,
@@ -57,29 +57,17 @@
         session: &Session,
     ) {
         if session.draining {
+            self.unexplained_losses.discard(id);
             return;
         }
-        let is_lost =
-            |tracked: &TrackedRun| tracked.upstream == *id && tracked.born_ms == session.born_ms;
-        let lost: Vec<RunKey> = registry
-            .allocations_on(id)
-            .map(|(key, _)| *key)
-            .filter(|key| self.tracked_runs.get(key).is_some_and(is_lost))
-            .collect();
+        self.unexplained_losses.confirm_crash(id, session.born_ms);
+        let lost = self.runs_of_incarnation(registry, id, session.born_ms);
         log::warn!(
             "event=upstream_crashed upstream={id} born_ms={} runs={}",
             session.born_ms,
             lost.len()
         );
-        let Some(first) = lost.first() else {
-            return;
-        };
-        let gang = registry.step(&first.0).is_some_and(|step| step.gang);
-        let same_unit = |key: &RunKey| match gang {
-            true => key.1 == first.1 && key.0.is_same_step(&first.0),
-            false => key == first,
-        };
-        let alone = lost.iter().all(same_unit);
+        let alone = is_one_unit(registry, &lost);
         for key in lost {
             let lasting = registry.step(&key.0).is_some_and(|step| step.lasting);
             if let Some(tracked) = self.tracked_runs.get_mut(&key) {
@@ -88,17 +76,90 @@
         }
     }
 
-    /// How far a run that is voided may have caused the loss of its upstream.
-    pub(super) fn blame_of_void(&self, tracked: &TrackedRun, reason: Void) -> Blame {
-        match reason {
+    /// Tracked runs on one incarnation of an upstream.
+    fn runs_of_incarnation(
+        &self,
+        registry: &Registry,
+        id: &id::Upstream,
+        born_ms: u64,
+    ) -> Vec<RunKey> {
+        let is_there = |tracked: &TrackedRun| tracked.upstream == *id && tracked.born_ms == born_ms;
+        registry
+            .allocations_on(id)
+            .map(|(key, _)| *key)
+            .filter(|key| self.tracked_runs.get(key).is_some_and(is_there))
+            .collect()
+    }
+
+    /// How far a run that is voided has caused the loss of its upstream, as far as that is known.
+    pub(super) fn blame_of_void(
+        &mut self,
+        registry: &Registry,
+        key: RunKey,
+        reason: Void,
+    ) -> Blame {
+        let Some(tracked) = self.tracked_runs.get(&key) else {
+            return Blame::None;
+        };
+        let own = match reason {
             Void::Refused | Void::Absent => Blame::None,
             _ if tracked.blame != Blame::None => tracked.blame,
-            // Whether the upstream has crashed or is cut off is not known.
-            Void::Lapsed | Void::Reborn if tracked.percent == 0 && tracked.may_have_started() => {
-                Blame::Possible
+            // The upstream restarted under an earlier leader, which may have sent the start.
+            Void::Reborn if tracked.percent == 0 && tracked.may_have_started() => Blame::Possible,
+            Void::Reborn | Void::Replaced => Blame::None,
+            Void::Lapsed => {
+                self.add_unexplained_loss(registry, key);
+                Blame::None
             }
-            _ => Blame::None,
-        }
+        };
+        let blame = match own {
+            // A void records one loss, so one without a loss of its own reports an earlier crash.
+            Blame::None => self.unexplained_losses.take_crash(&key.0),
+            own => own,
+        };
+        limit_to_repeated(registry, &key.0, blame)
+    }
+
+    /// Remembers the loss of a run whose upstream has crashed or is cut off.
+    fn add_unexplained_loss(&mut self, registry: &Registry, key: RunKey) {
+        let Some(tracked) = self.tracked_runs.get(&key) else {
+            return;
+        };
+        let (upstream, born_ms) = (tracked.upstream.clone(), tracked.born_ms);
+        let alone = is_one_unit(
+            registry,
+            &self.runs_of_incarnation(registry, &upstream, born_ms),
+        );
+        let lasting = registry.step(&key.0).is_some_and(|step| step.lasting);
+        let blame = blame_of_crash(tracked, alone, lasting);
+        self.unexplained_losses.add(key, upstream, born_ms, blame);
+    }
+}
+
+/// Whether all runs belong to one task, or to one run of a gang.
+fn is_one_unit(registry: &Registry, runs: &[RunKey]) -> bool {
+    let Some(first) = runs.first() else {
+        return true;
+    };
+    let gang = registry.step(&first.0).is_some_and(|step| step.gang);
+    runs.iter().all(|key| match gang {
+        true => key.1 == first.1 && key.0.is_same_step(&first.0),
+        false => key == first,
+    })
+}
+
+/// Leaves out the loss for which a gang would be given up, unless the same member was lost with an upstream before. The
+/// registry adds up the losses of all members.
+fn limit_to_repeated(registry: &Registry, task: &id::Task, blame: Blame) -> Blame {
+    let gang = registry.step(task).is_some_and(|step| step.gang);
+    let (true, Some(step), Some(member)) = (gang, registry.progress(task), registry.task(task))
+    else {
+        return blame;
+    };
+    let is_first = member.losses.total() == 0;
+    match is_first && step.gang_losses.is_too_many_with(blame) {
+        true => Blame::None,
+        false => blame,
     }
 }
 
--- a/crates/plan/src/engine/engine.rs
+++ b/crates/plan/src/engine/engine.rs
@@ -2,7 +2,7 @@
     super::{
         Effect, Effort, Event, Failure, Refusal, Settings, Target, addresses::Addresses,
         advice::Advice, drain::Departures, reservations::Reservation, session::Session,
-        tracked_run::TrackedRun, usage::Usage,
+        tracked_run::TrackedRun, unexplained_losses::UnexplainedLosses, usage::Usage,
     },
     crate::{
         headroom::Headroom,
@@ -12,7 +12,7 @@
     work::{
         collections::IndexMap,
         id,
-        registry::{Blame, Placement, Registry, Update, Void},
+        registry::{Placement, Registry, State, Update, Void},
     },
 };
 
@@ -67,6 +67,7 @@
     pub(super) stop_calls: IndexMap<u64, RunKey>,
     /// Unanswered starts whose runs were given up.
     pub(super) unresolved_starts: IndexMap<RunKey, UnresolvedStart>,
+    pub(super) unexplained_losses: UnexplainedLosses,
     /// Placements in proposals without a known outcome, by proposal.
     pub(super) proposed_placements: IndexMap<u64, Vec<Placement>>,
     /// Runs that pending proposals void, by proposal, so that no run is voided twice.
@@ -122,6 +123,7 @@
             start_calls: IndexMap::default(),
             stop_calls: IndexMap::default(),
             unresolved_starts: IndexMap::default(),
+            unexplained_losses: UnexplainedLosses::default(),
             proposed_placements: IndexMap::default(),
             proposed_voids: IndexMap::default(),
             proposed_ends: IndexMap::default(),
@@ -257,7 +259,7 @@
     }
 
     /// Proposes that a run is over although no end was reported.
-    pub(super) fn void(&mut self, key: RunKey, reason: Void) {
+    pub(super) fn void(&mut self, registry: &Registry, key: RunKey, reason: Void) {
         if self
             .proposed_voids
             .values()
@@ -267,8 +269,8 @@
         {
             return;
         }
+        let blame = self.blame_of_void(registry, key, reason);
         let tracked = self.tracked_runs.get(&key);
-        let blame = tracked.map_or(Blame::None, |tracked| self.blame_of_void(tracked, reason));
         log::info!(
             "event=run_void task={} run={} upstream={} reason={reason} blame={blame} started={} percent={}",
             key.0,
@@ -319,6 +321,11 @@
         if registry.has_job_ended_before(before_ms) {
             self.updates.push(Update::Expire { before_ms });
         }
+        let is_open = |job| {
+            let job = registry.job(job);
+            job.is_some_and(|job| job.state == State::Open)
+        };
+        self.unexplained_losses.discard_ended(is_open);
         for (id, session) in &self.sessions {
             let quiet = self.now.saturating_duration_since(session.last_heard);
             if quiet > FORGET_SILENT_AFTER && registry.allocations_on(id).next().is_none() {
--- a/crates/plan/src/engine/hold.rs
+++ b/crates/plan/src/engine/hold.rs
@@ -170,6 +170,7 @@
             );
         }
         session.record_answer(now);
+        self.unexplained_losses.discard(id);
         let first = !std::mem::replace(&mut session.contacted, true);
         session.next_hold = now;
         session.released_end = session.released_end.max(pending.last_end);
@@ -378,7 +379,7 @@
                 } else {
                     Void::Absent
                 };
-                self.void(key, reason);
+                self.void(registry, key, reason);
                 // The other members would wait for this one in vain.
                 self.stop_gang(registry, key, "member_lost");
             } else if is_restarted
--- a/crates/plan/src/engine/mod.rs
+++ b/crates/plan/src/engine/mod.rs
@@ -19,6 +19,7 @@
 mod settings;
 mod sync;
 mod tracked_run;
+mod unexplained_losses;
 mod usage;
 
 pub use {
--- a/crates/plan/src/engine/runs.rs
+++ b/crates/plan/src/engine/runs.rs
@@ -185,7 +185,7 @@
                 // An earlier attempt to start the same run may have succeeded.
                 let refused = Engine::was_refused(&failure);
                 if refused && tracked.start_attempts == 1 {
-                    self.void(key, Void::Refused);
+                    self.void(registry, key, Void::Refused);
                     self.stop_gang(registry, key, "member_refused");
                 } else {
                     tracked.phase = Phase::Unanswered {
@@ -301,7 +301,7 @@
         let keys: Vec<RunKey> = keys.copied().collect();
         self.effort.checked += keys.len() as u64;
         for key in keys {
-            self.check_lease(key);
+            self.check_lease(registry, key);
             self.check_need(registry, key);
             self.check_start(registry, key);
             self.check_progress(registry, key);
@@ -311,7 +311,7 @@
     }
 
     /// Voids a run on an unreachable upstream once its lease has expired.
-    fn check_lease(&mut self, key: RunKey) {
+    fn check_lease(&mut self, registry: &Registry, key: RunKey) {
         let Some(tracked) = self.tracked_runs.get(&key) else {
             return;
         };
@@ -320,7 +320,7 @@
         };
         let unreachable = session.failures > 0 || !session.contacted;
         if unreachable && self.now > session.lease_end {
-            self.void(key, Void::Lapsed);
+            self.void(registry, key, Void::Lapsed);
         }
     }
 
--- a/crates/plan/src/engine/sync.rs
+++ b/crates/plan/src/engine/sync.rs
@@ -65,6 +65,7 @@
                 }
                 None => {
                     self.sessions.shift_remove(id);
+                    self.unexplained_losses.discard(id);
                     self.addresses.remove(id);
                     self.departures.shift_remove(id);
                 }
@@ -88,6 +89,7 @@
         let is_gone = |id: &id::Upstream| registry.upstream(id).is_none();
         let gone = self.sessions.extract_if(.., |id, _| is_gone(id));
         for (id, _) in gone.collect::<Vec<_>>() {
+            self.unexplained_losses.discard(&id);
             self.addresses.remove(&id);
         }
         if first {
--- a/crates/plan/tests/loss/cluster.rs
+++ b/crates/plan/tests/loss/cluster.rs
@@ -25,6 +25,9 @@
 /// Interval between two steps of the engine.
 const STEP_MS: u64 = 20;
 
+/// Steps within which the tasks of a job have to be started again: the lease of a lost run and some seconds more.
+const MAX_STEPS_TO_START: u64 = 15_000 / STEP_MS;
+
 /// Work of a task that does not crash its upstream.
 const WORK_MS: u64 = 2500;
 
@@ -166,6 +169,27 @@
         }
     }
 
+    /// Crashes the upstream that runs the task.
+    pub fn crash_under(&mut self, task: id::Task) {
+        let now_ms = self.now_ms;
+        let runs_it = |node: &&mut Node| node.running.keys().any(|(other, _)| *other == task);
+        let node = self.nodes.iter_mut().find(runs_it);
+        node.expect("the task runs").crash_at_ms = Some(now_ms);
+    }
+
+    /// Runs until upstreams that can be reached run all tasks of the job, which has one step of `count` tasks.
+    pub fn run_until_started(&mut self, job: id::Job, count: usize) {
+        for _ in 0..MAX_STEPS_TO_START {
+            let nodes = self.nodes.iter().filter(|node| !node.is_cut);
+            let tasks = nodes.flat_map(|node| node.running.keys());
+            if tasks.filter(|(task, _)| task.job == job).count() == count {
+                return;
+            }
+            self.run_for(STEP_MS);
+        }
+        panic!("the job is not started: {:?}", self.registry.job(job));
+    }
+
     pub fn run_for(&mut self, ms: u64) {
         let end_ms = self.now_ms + ms;
         while self.now_ms < end_ms {
@@ -207,13 +231,15 @@
 
     fn advance_nodes(&mut self) {
         let now_ms = self.now_ms;
+        let mut lost = Vec::new();
         for index in 0..self.nodes.len() {
             let node = &mut self.nodes[index];
             if node.crash_at_ms.take_if(|at| now_ms >= *at).is_some() {
                 node.is_up = false;
                 node.back_at_ms = now_ms + self.restart_after_ms;
-                for ((task, _), _) in node.running.drain(..) {
+                for ((task, run), _) in node.running.drain(..) {
                     *self.crashes.entry(task).or_default() += 1;
+                    lost.push((task, run));
                 }
             } else if !node.is_up && now_ms >= node.back_at_ms {
                 self.lives += 1;
@@ -241,6 +267,23 @@
                 });
             }
         }
+        self.break_gangs(&lost);
+    }
+
+    /// Ends the other members of gangs of which a run was lost.
+    fn break_gangs(&mut self, lost: &[(id::Task, u32)]) {
+        let is_gang = |task: &id::Task| self.registry.step(task).is_some_and(|step| step.gang);
+        let gangs: Vec<_> = lost.iter().filter(|(task, _)| is_gang(task)).collect();
+        for node in &mut self.nodes {
+            let is_member = |key: &(id::Task, u32)| {
+                let mut gangs = gangs.iter();
+                gangs.any(|(task, run)| key.1 == *run && key.0.is_same_step(task))
+            };
+            let broken = node.running.extract_if(.., |key, _| is_member(key));
+            for ((task, run), _) in broken.collect::<Vec<_>>() {
+                node.end(task, run, Outcome::Broken);
+            }
+        }
     }
 
     /// The upstream at the target's address, or why a call to it fails.
--- a/crates/plan/tests/loss/cut.rs
+++ b/crates/plan/tests/loss/cut.rs
@@ -37,3 +37,19 @@
     let job = cluster.registry.job(JOB).expect("the job is known");
     assert_eq!(job.state, State::Completed);
 }
+
+/// Guards against jobs that end as failed because each of their upstreams was cut off before the run was seen to make
+/// progress: such a loss was counted as a crash that the task may have caused.
+#[test]
+fn a_task_whose_upstreams_are_cut_off_right_after_its_start_is_not_given_up() {
+    let mut cluster = Cluster::new(8, Return::NewId);
+    cluster.submit(JOB, 1, 8, false);
+    for _ in 0..7 {
+        cluster.run_until_started(JOB, 1);
+        cluster.set_cut(Some(JOB));
+    }
+    cluster.set_cut(None);
+    cluster.run_for(15_000);
+    let job = cluster.registry.job(JOB).expect("the job is known");
+    assert_eq!(job.state, State::Completed);
+}
--- a/crates/work/src/registry/command.rs
+++ b/crates/work/src/registry/command.rs
@@ -142,7 +142,7 @@
     /// The upstream is not lost, or the run had nothing to do with it.
     #[default]
     None,
-    /// The upstream crashed after the run had made progress, or it was lost without a sign of a crash before that.
+    /// The upstream crashed after the run had made progress, or it may not have started the run.
     Possible,
     /// The upstream crashed before the run had made progress, with other work on it.
     Shared,
--- a/crates/work/src/registry/losses.rs
+++ b/crates/work/src/registry/losses.rs
@@ -10,8 +10,8 @@
 /// the third crash, and to be given up from the second on.
 const MAX_CRASHES: u32 = 3;
 
-/// Losses after which a task is given up, including those that may have had another cause. If all of them were crashes,
-/// the task has been started twice since the third.
+/// Losses after which a task is given up, including crashes that it may not have caused. If it has caused all of them, it
+/// has been started twice since the third.
 const MAX_LOSSES: u32 = 5;
 
 /// Upstreams that were lost while they ran a task, or a gang.
@@ -21,7 +21,7 @@
     pub crashes: u32,
     /// Whether one of them ran nothing else.
     pub crashed_alone: bool,
-    /// Upstreams that crashed later, or were lost without a sign of a crash before the task had made progress.
+    /// Upstreams that crashed after the task had made progress, or that may not have started it.
     pub possible_crashes: u32,
     /// Time of the latest loss by the registry's clock, in milliseconds since the Unix epoch; 0 before the first.
     pub latest_ms: u64,
@@ -53,6 +53,13 @@
         self.crashes > 0 || self.possible_crashes > 1
     }
 
+    /// Whether a further loss would make the task one that is given up.
+    pub fn is_too_many_with(&self, blame: Blame) -> bool {
+        let mut losses = self.clone();
+        losses.record(blame, self.latest_ms);
+        losses.is_too_many()
+    }
+
     /// Whether the task is given up, because it crashes the upstreams that start it.
     pub fn is_too_many(&self) -> bool {
         (self.crashed_alone && self.crashes >= MAX_CRASHES_ALONE)
