plan: make the attempts that are left where runs have failed on every upstream

Cause: upstreams on which any task of a step had failed, and for the last attempt those whose latest run had failed, were refused without a limit. With as many failed runs as upstreams nothing was left. The last attempt was also assumed of tasks that last, which have no limit of attempts.

Both are preferences now: they hold while an upstream without failures accepts the step, for 1.5 s at most if the service is idle or the tasks last, and for 10 s otherwise. Tasks that last have no last attempt.

Same cause on a related path: a job that fails wherever it runs had all upstreams paused for up to 24 s, as several ends in one answer lengthened the pause each time. A failure counts for the step once it has failed on three upstreams, on more than there are others that run it and tasks that are done; a pause is not lengthened while it lasts; and where most upstreams of a service are paused, they get work after 2 s.

--- a/crates/plan/src/engine/engine.rs
+++ b/crates/plan/src/engine/engine.rs
@@ -77,6 +77,8 @@
     pub(super) advice: Advice,
     pub(super) estimator: Estimator,
     pub(super) health: IndexMap<id::Upstream, Health>,
+    /// Since when ready steps wait for an upstream without failures, by the first task of the step.
+    pub(super) avoiding_since: IndexMap<id::Task, Instant>,
     pub(super) effects: Vec<Effect>,
     pub(super) updates: Vec<Update>,
     /// Runs that this step has ordered to stop.
@@ -130,6 +132,7 @@
             advice: Advice::default(),
             estimator: Estimator::default(),
             health: IndexMap::default(),
+            avoiding_since: IndexMap::default(),
             effects: Vec::new(),
             updates: Vec::new(),
             stops: Vec::new(),
--- a/crates/plan/src/engine/hold.rs
+++ b/crates/plan/src/engine/hold.rs
@@ -5,6 +5,7 @@
         session::{PendingHold, Session},
         tracked_run::{Phase, StopOrder},
     },
+    crate::learn,
     std::time::{Duration, Instant},
     work::{
         collections::IndexMap,
@@ -305,10 +306,12 @@
 
     fn learn_from_end(&mut self, registry: &Registry, id: &id::Upstream, end: &End) {
         let now = self.now;
+        let progress = registry.progress(&end.task);
+        let is_fault_of_step = progress.is_some_and(|step| learn::is_fault_of_step(step, id));
         let health = self.health.entry(id.clone()).or_default();
         match end.how {
             Outcome::Done => health.record_success(),
-            Outcome::Failed => health.record_failure(now),
+            Outcome::Failed if !is_fault_of_step => health.record_failure(now),
             _ => {}
         }
         let Some(tracked) = self.tracked_runs.get(&(end.task, end.run)) else {
--- a/crates/plan/src/engine/mod.rs
+++ b/crates/plan/src/engine/mod.rs
@@ -2,6 +2,7 @@
 
 mod addresses;
 mod advice;
+mod avoidance;
 mod crash;
 mod drain;
 mod effect;
--- a/crates/plan/src/engine/planning.rs
+++ b/crates/plan/src/engine/planning.rs
@@ -49,13 +49,14 @@
         self.prune_advice(registry);
         let placements = self.proposed_placements.values().flatten();
         let assigned: IndexSet<id::Task> = placements.map(|placement| placement.task).collect();
-        let units = order::ready_units(
+        let mut units = order::ready_units(
             registry,
             &self.estimator,
             self.time_ms,
             &self.settings,
             &assigned,
         );
+        self.limit_avoidance(&round, &mut units);
         round.is_reported = self.is_report_due();
         if round.is_reported {
             self.report_load(&round, &units);
@@ -90,16 +91,14 @@
                 .sessions
                 .get(&upstream.id)
                 .is_some_and(|session| session.is_usable(self.now, &self.settings));
-            let health = self.health.get(&upstream.id);
-            let healthy = health.is_none_or(|health| health.is_available(self.now));
-            if !usable || !healthy || upstream.draining {
+            if !usable || upstream.draining {
                 continue;
             }
+            let health = self.health.get(&upstream.id);
             let data_centre = upstream.data_centre.as_str();
             let slowness = slowness
                 .entry(data_centre)
                 .or_insert_with(|| self.estimator.slowness(data_centre));
-            positions.insert(&upstream.id, hosts.len());
             hosts.push(Host {
                 upstream,
                 free: upstream.capacity,
@@ -114,6 +113,10 @@
                 has_suspect: false,
             });
         }
+        self.remove_paused(&mut hosts);
+        for (position, host) in hosts.iter().enumerate() {
+            positions.insert(&host.upstream.id, position);
+        }
         let mut round = Round {
             registry,
             hosts,
@@ -348,6 +351,7 @@
     }
 
     fn assign(&mut self, round: &mut Round<'_>, unit: &Unit<'_>, tasks: &[u16], places: &[usize]) {
+        self.avoiding_since.swap_remove(&unit.first_task);
         round.reserve(unit, places);
         let mut placements = Vec::with_capacity(places.len());
         for (index, place) in tasks.iter().zip(places) {
--- a/crates/plan/src/learn/health.rs
+++ b/crates/plan/src/learn/health.rs
@@ -14,6 +14,7 @@
 pub struct Health {
     failures: u32,
     pauses: u32,
+    paused_at: Option<Instant>,
     unavailable_until: Option<Instant>,
 }
 
@@ -37,9 +38,14 @@
         self.pause(now);
     }
 
+    /// Pauses the upstream, longer each time. What ends during a pause was started before it and changes nothing.
     fn pause(&mut self, now: Instant) {
+        if !self.is_available(now) {
+            return;
+        }
         let doublings = self.pauses.min(MAX_DOUBLINGS);
         self.pauses += 1;
+        self.paused_at = Some(now);
         self.unavailable_until = Some(now + FIRST_PAUSE * (1 << doublings));
     }
 
@@ -48,6 +54,11 @@
         self.unavailable_until.is_none_or(|until| now >= until)
     }
 
+    /// Whether the upstream may get work if its pause is limited to a duration.
+    pub fn is_available_after(&self, pause: Duration, now: Instant) -> bool {
+        self.is_available(now) || self.paused_at.is_none_or(|at| now >= at + pause)
+    }
+
     /// Whether the latest run did not fail. A task with one attempt left runs only on such upstreams.
     pub fn is_reliable(&self) -> bool {
         self.failures == 0
--- a/crates/plan/src/order/unit.rs
+++ b/crates/plan/src/order/unit.rs
@@ -31,7 +31,8 @@
     /// Due time of its occurrence or acceptance of its job, whichever is later, in milliseconds since the Unix epoch.
     /// The time that earlier steps took is not considered.
     pub ready_since_ms: u64,
-    /// Whether it has failed before and one more failure ends the job.
+    /// Whether it has failed before and one more failure ends the job, so that it runs only on upstreams whose latest run
+    /// did not fail.
     pub last_chance: bool,
     /// Whether it needs a decision of the policy service on which upstreams may run it.
     pub needs_advice: bool,
@@ -42,7 +43,7 @@
     pub suspect: bool,
     /// Whether it is placed only on upstreams that run nothing else.
     pub isolated: bool,
-    /// Upstreams on which a task of the step failed.
+    /// Upstreams on which a task of the step failed, and on which it does not run.
     pub failed_on: Vec<id::Upstream>,
 }
 
@@ -91,6 +92,17 @@
         self.may_be_withheld() && !may_share && !self.isolated
     }
 
+    /// Whether it avoids upstreams on which runs have failed.
+    pub fn avoids_failures(&self) -> bool {
+        self.last_chance || !self.failed_on.is_empty()
+    }
+
+    /// Lets it run on upstreams on which runs have failed.
+    pub fn accept_failures(&mut self) {
+        self.last_chance = false;
+        self.failed_on.clear();
+    }
+
     /// Whether each of its tasks must be the only one of the unit on its upstream.
     pub fn needs_own_upstream(&self) -> bool {
         self.isolated || self.suspect
--- a/crates/plan/src/order/units.rs
+++ b/crates/plan/src/order/units.rs
@@ -185,7 +185,7 @@
                 rank,
                 start_by_ms: base_ms as f64 + objective_ms - remaining_ms[position],
                 ready_since_ms: base_ms.max(job.accepted_ms),
-                last_chance: failures + 1 >= queue.attempts && failures > 0,
+                last_chance: !step.lasting && failures > 0 && failures + 1 >= queue.attempts,
                 needs_advice: queue.advice.is_some(),
                 yields_quickly: step.gang && step.checkpoints && self.stops_quickly,
                 suspect: false,
--- a/crates/plan/tests/loss/cluster.rs
+++ b/crates/plan/tests/loss/cluster.rs
@@ -16,6 +16,9 @@
 /// The job whose tasks crash their upstreams.
 pub const DEADLY: id::Job = id::Job(0xdead);
 
+/// The job whose tasks fail once their work is over.
+pub const FAILING: id::Job = id::Job(0xfa11);
+
 /// Time from the start of a deadly task to the crash.
 const CRASH_AFTER_MS: u64 = 10;
 
@@ -121,15 +124,14 @@
     /// Submits a job of one step.
     pub fn submit(&mut self, job: id::Job, count: u16, accelerators: i64, gang: bool) {
         let step = Step {
-            count,
             gang,
-            need: Resources {
-                accelerators,
-                ..Resources::default()
-            },
-            estimate_ms: WORK_MS as u32,
-            ..Step::default()
+            ..step(count, accelerators)
         };
+        self.submit_step(job, step);
+    }
+
+    /// Submits a job of this step.
+    pub fn submit_step(&mut self, job: id::Job, step: Step) {
         let answer = self.registry.apply(Command::Submit {
             at_ms: EPOCH_MS + self.now_ms,
             job,
@@ -169,6 +171,12 @@
         }
     }
 
+    /// Number of tasks of the job that run.
+    pub fn running(&self, job: id::Job) -> usize {
+        let tasks = self.nodes.iter().flat_map(|node| node.running.keys());
+        tasks.filter(|(task, _)| task.job == job).count()
+    }
+
     /// Crashes the upstream that runs the task.
     pub fn crash_under(&mut self, task: id::Task) {
         let now_ms = self.now_ms;
@@ -253,11 +261,21 @@
                 self.register(index);
             }
             let node = &mut self.nodes[index];
-            let done = node.running.extract_if(.., |(task, _), begun_ms| {
-                task.job != DEADLY && now_ms >= *begun_ms + WORK_MS
-            });
-            for ((task, run), _) in done.collect::<Vec<_>>() {
-                node.end(task, run, Outcome::Done);
+            let registry = &self.registry;
+            let is_over = |task: &id::Task, begun_ms: u64| {
+                let lasting = registry.step(task).is_some_and(|step| step.lasting);
+                let ends = task.job != DEADLY && (!lasting || task.job == FAILING);
+                ends && now_ms >= begun_ms + WORK_MS
+            };
+            let over = node
+                .running
+                .extract_if(.., |(task, _), begun_ms| is_over(task, *begun_ms));
+            for ((task, run), _) in over.collect::<Vec<_>>() {
+                let how = match task.job {
+                    FAILING => Outcome::Failed,
+                    _ => Outcome::Done,
+                };
+                node.end(task, run, how);
             }
             if node.is_up && !node.is_cut && now_ms.is_multiple_of(1000) {
                 self.events.push(Event::HeartbeatReceived {
@@ -404,6 +422,19 @@
     }
 }
 
+/// A step of tasks that need these accelerators each.
+pub fn step(count: u16, accelerators: i64) -> Step {
+    Step {
+        count,
+        need: Resources {
+            accelerators,
+            ..Resources::default()
+        },
+        estimate_ms: WORK_MS as u32,
+        ..Step::default()
+    }
+}
+
 fn config() -> Config {
     Config {
         version: 1,
