work: keep jobs in the queue of their host and prefix when its name changes

Cause: jobs are stored under the name of their queue, and the leader found a job only if the route of the call had that name. Callers know a queue by host and prefix; names belong to one version of the configuration.

When a configuration is applied, jobs now follow host and prefix: they get the new name of their queue, and so its service and limits. Where the name goes to another queue and the place is dropped, the old queue is retained under its host and prefix.

Same cause on related paths: a repeated submission was refused with 400 after the change; names that two routes swap, or that a new route takes over, moved jobs to another queue and so to another service; a job of a public route was answered 410 once the route needed a key, and the other way round.

--- a/crates/dispatch/src/control/answer.rs
+++ b/crates/dispatch/src/control/answer.rs
@@ -114,8 +114,22 @@
             outcome_text(&answer)
         );
         self.wake(Event::Tick);
-        match answer? {
-            Answer::Taken => Ok(Reply::Invalid("the id belongs to another job".into())),
+        let answer = answer?;
+        let (is_own, has_queue) = self.read_registry(|registry| {
+            let known = registry.job(job);
+            let queue = known.and_then(|known| registry.queue(&known.queue));
+            (
+                known.is_some_and(|known| target.owns(known)),
+                queue.is_some(),
+            )
+        })?;
+        match answer {
+            Answer::Taken if !is_own => Ok(Reply::Invalid("the id belongs to another job".into())),
+            // The caller submits it again, which moves it to the queue that has replaced this one.
+            _ if !has_queue => Err(Verdict::Unknown(format!(
+                "the queue {} was replaced meanwhile",
+                target.queue
+            ))),
             _ => Ok(Reply::Accepted),
         }
     }
@@ -300,8 +314,14 @@
 }
 
 impl CallTarget {
+    /// Whether the call may address the job: it is in the queue, and belongs to the caller unless the queue is public, or
+    /// was when the job was accepted.
     fn owns(&self, job: &Job) -> bool {
-        job.queue == self.queue && job.account == self.account
+        let is_callers = match (&self.account, &job.account) {
+            (Some(caller), Some(owner)) => caller == owner,
+            _ => true,
+        };
+        job.queue == self.queue && is_callers
     }
 }
 
--- a/crates/dispatch/tests/group.rs
+++ b/crates/dispatch/tests/group.rs
@@ -5,7 +5,7 @@
     futures::{FutureExt, future::BoxFuture},
     gate::{
         Outcome,
-        call::{Reply, Request},
+        call::{Action, Caller, JobState, Reply, Request},
     },
     model::clock::Boot,
     plan::engine::{Failure, Hold, Listing, Settings, Start, Stop, Target},
@@ -16,7 +16,7 @@
         time::{Duration, Instant},
     },
     work::{
-        config::Config,
+        config::{Config, Queue, Service},
         id,
         job::{Definition, Resources, Step},
         registry::{self, Command},
@@ -314,3 +314,63 @@
     })
     .await;
 }
+
+fn config(version: u64, queue: &str) -> Request {
+    Request::Configure(Box::new(Config {
+        version,
+        queues: vec![Queue {
+            name: queue.into(),
+            host: "host".into(),
+            prefix: "/x/".into(),
+            service: "pool".into(),
+            timeout_ms: 1000,
+            public: true,
+            ..Queue::default()
+        }],
+        services: vec![Service {
+            name: "pool".into(),
+            ..Service::default()
+        }],
+        ..Config::default()
+    }))
+}
+
+fn job_call(action: Action) -> Request {
+    let caller = Caller {
+        host: "host".into(),
+        path: "/x/00000000000000d1".into(),
+        key: None,
+    };
+    Request::Job { caller, action }
+}
+
+/// Guards against accepted jobs that are unknown, and cannot be cancelled or submitted again, once their route has
+/// another name.
+#[tokio::test]
+async fn jobs_are_found_under_their_host_and_prefix_after_a_change_of_the_name() {
+    let address = addresses(1)[0];
+    let folder = tempfile::tempdir().unwrap();
+    let control = spawn(address, &[address], folder.path(), true);
+    let timeout = Duration::from_secs(20);
+    let submit = Action::Submit(Box::new(Definition {
+        steps: vec![Step {
+            count: 1,
+            ..Step::default()
+        }],
+        ..Definition::default()
+    }));
+    let calls = [
+        (config(1, "old"), Reply::Done),
+        (job_call(submit.clone()), Reply::Accepted),
+        (config(2, "new"), Reply::Done),
+        (job_call(Action::Show), Reply::Job(JobState::Queued)),
+        (job_call(submit), Reply::Accepted),
+        (job_call(Action::Cancel), Reply::Cancelled),
+    ];
+    for (request, reply) in calls {
+        assert_eq!(
+            control.call(request, timeout).await,
+            Outcome::Answered(reply)
+        );
+    }
+}
--- a/crates/work/src/config/queue.rs
+++ b/crates/work/src/config/queue.rs
@@ -3,7 +3,7 @@
 /// A queue of jobs, selected by the host and path of a request.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Queue {
-    /// Name that is unique within the configuration.
+    /// Name within the configuration; another version may give it to another queue.
     pub name: String,
     /// Host of the requests that it takes.
     pub host: String,
@@ -27,6 +27,18 @@
     pub advice: Option<Advice>,
 }
 
+impl Queue {
+    /// Host and prefix, by which callers know the queue.
+    pub fn place(&self) -> String {
+        format!("{}{}", self.host, self.prefix)
+    }
+
+    /// Whether both have the same host and prefix.
+    pub fn has_place_of(&self, other: &Queue) -> bool {
+        self.host == other.host && self.prefix == other.prefix
+    }
+}
+
 /// Timing of the policy service.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Advice {
--- a/crates/work/src/registry/apply.rs
+++ b/crates/work/src/registry/apply.rs
@@ -3,7 +3,7 @@
         Allocation, Answer, Change, Command, Job, Occurrence, Placement, Registry, Run, State,
         Update, registry::Record,
     },
-    crate::{collections::IndexMap, config::Config, id, job::Definition, upstream::Upstream},
+    crate::{collections::IndexMap, id, job::Definition, upstream::Upstream},
 };
 
 impl Registry {
@@ -64,6 +64,8 @@
     pub fn load(bytes: &[u8]) -> Result<Registry, postcard::Error> {
         let mut registry: Registry = postcard::from_bytes(bytes)?;
         registry.rebuild_index();
+        // Snapshots of earlier versions have jobs in queues whose host and prefix are configured under another name.
+        registry.follow_configuration();
         Ok(registry)
     }
 
@@ -72,33 +74,6 @@
         self.time_ms = self.time_ms.max(at_ms);
     }
 
-    fn configure(&mut self, config: Config) {
-        if self
-            .config
-            .as_ref()
-            .is_some_and(|current| current.version >= config.version)
-        {
-            return;
-        }
-        for queue in &config.queues {
-            self.queues.insert(queue.name.clone(), queue.clone());
-        }
-        self.config = Some(config);
-        self.drop_unused_queues();
-    }
-
-    /// Removes queues that the configuration has dropped and that have no jobs any more.
-    fn drop_unused_queues(&mut self) {
-        let Some(config) = &self.config else {
-            return;
-        };
-        let jobs = &self.jobs;
-        self.queues.retain(|name, _| {
-            config.queues.iter().any(|queue| queue.name == *name)
-                || jobs.values().any(|job| job.queue == *name)
-        });
-    }
-
     fn submit(
         &mut self,
         id: id::Job,
@@ -106,7 +81,11 @@
         queue: String,
         definition: Definition,
     ) -> Answer {
-        if let Some(known) = self.jobs.get(&id) {
+        if let Some(known) = self.jobs.get_mut(&id) {
+            // The queue was renamed while the job was on its way.
+            if !self.queues.contains_key(&known.queue) && known.account == account {
+                known.queue.clone_from(&queue);
+            }
             return match known.queue == queue && known.account == account {
                 true => Answer::Accepted,
                 false => Answer::Taken,
--- a/crates/work/src/registry/mod.rs
+++ b/crates/work/src/registry/mod.rs
@@ -7,6 +7,7 @@
 mod job;
 mod losses;
 mod occurrence;
+mod queues;
 mod registry;
 
 pub use {
--- /dev/null
+++ b/crates/work/src/registry/queues.rs
@@ -0,0 +1,71 @@
+use {
+    super::Registry,
+    crate::{
+        collections::IndexMap,
+        config::{Config, Queue},
+    },
+};
+
+/// Queues. Callers know them by host and prefix; their names are those of the latest configuration, or the last ones that
+/// they had.
+impl Registry {
+    pub(super) fn configure(&mut self, config: Config) {
+        if self
+            .config
+            .as_ref()
+            .is_some_and(|current| current.version >= config.version)
+        {
+            return;
+        }
+        self.config = Some(config);
+        self.follow_configuration();
+    }
+
+    /// Gives the queues the names and values of the configuration. Jobs stay in the queue that has the host and prefix
+    /// under which they were submitted, whatever its name is.
+    pub(super) fn follow_configuration(&mut self) {
+        let Some(config) = &self.config else {
+            return;
+        };
+        let mut queues: IndexMap<String, Queue> = IndexMap::default();
+        for queue in &config.queues {
+            queues.insert(queue.name.clone(), queue.clone());
+        }
+        let mut renamed: IndexMap<String, String> = IndexMap::default();
+        for (name, queue) in std::mem::take(&mut self.queues) {
+            let has_place = |other: &&Queue| other.has_place_of(&queue);
+            if let Some(configured) = config.queues.iter().find(has_place) {
+                if configured.name != name {
+                    renamed.insert(name, configured.name.clone());
+                }
+            } else if queues.contains_key(&name) {
+                let unused = queue.place();
+                queues.insert(unused.clone(), queue);
+                renamed.insert(name, unused);
+            } else {
+                queues.insert(name, queue);
+            }
+        }
+        self.queues = queues;
+        if !renamed.is_empty() {
+            for job in self.jobs.values_mut() {
+                if let Some(name) = renamed.get(&job.queue) {
+                    job.queue.clone_from(name);
+                }
+            }
+        }
+        self.drop_unused_queues();
+    }
+
+    /// Removes queues that the configuration has dropped and that have no jobs any more.
+    pub(super) fn drop_unused_queues(&mut self) {
+        let Some(config) = &self.config else {
+            return;
+        };
+        let jobs = &self.jobs;
+        self.queues.retain(|name, _| {
+            config.queues.iter().any(|queue| queue.name == *name)
+                || jobs.values().any(|job| job.queue == *name)
+        });
+    }
+}
--- a/crates/work/src/registry/registry.rs
+++ b/crates/work/src/registry/registry.rs
@@ -17,7 +17,7 @@
     pub time_ms: u64,
     pub(super) config: Option<Config>,
     /// Queues by name, as last configured. A queue that the configuration has dropped is retained until its accepted
-    /// jobs have been removed.
+    /// jobs have been removed; if the configuration has given its name to another queue, under its host and prefix.
     pub(super) queues: IndexMap<String, Queue>,
     pub(super) jobs: IndexMap<id::Job, Job>,
     pub(super) upstreams: IndexMap<id::Upstream, Record>,
