work: count jobs as waiting until a task of them has started

Cause: the registry marked a job as begun when a run was assigned, before its start was sent, and nothing took that back when the run was refused or voided.

A job has begun once the upstream has confirmed a start, lists the run, or reports its end. The leader reports the first run of a job with its next proposal, after 500 ms at the latest, and again if the registry does not have it, so a new leader needs nothing from the one before.

The report is the update that moves a run to another incarnation, with the incarnation that the run has; it is named Running now. Its encoding is the same, and a build without this change applies it without effect, so records and messages can be read both ways. A job that such a build has marked as begun keeps the mark.

--- a/crates/plan/src/engine/engine.rs
+++ b/crates/plan/src/engine/engine.rs
@@ -1,8 +1,9 @@
 use {
     super::{
         Effect, Effort, Event, Failure, Refusal, Settings, Target, addresses::Addresses,
-        advice::Advice, drain::Departures, reservations::Reservation, session::Session,
-        tracked_run::TrackedRun, unexplained_losses::UnexplainedLosses, usage::Usage,
+        advice::Advice, drain::Departures, first_runs::FirstRuns, reservations::Reservation,
+        session::Session, tracked_run::TrackedRun, unexplained_losses::UnexplainedLosses,
+        usage::Usage,
     },
     crate::{
         headroom::Headroom,
@@ -68,6 +69,7 @@
     /// Unanswered starts whose runs were given up.
     pub(super) unresolved_starts: IndexMap<RunKey, UnresolvedStart>,
     pub(super) unexplained_losses: UnexplainedLosses,
+    pub(super) first_runs: FirstRuns,
     /// Placements in proposals without a known outcome, by proposal.
     pub(super) proposed_placements: IndexMap<u64, Vec<Placement>>,
     /// Runs that pending proposals void, by proposal, so that no run is voided twice.
@@ -126,6 +128,7 @@
             stop_calls: IndexMap::default(),
             unresolved_starts: IndexMap::default(),
             unexplained_losses: UnexplainedLosses::default(),
+            first_runs: FirstRuns::default(),
             proposed_placements: IndexMap::default(),
             proposed_voids: IndexMap::default(),
             proposed_ends: IndexMap::default(),
@@ -177,6 +180,7 @@
         self.send_stops(registry);
         self.send_holds(registry);
         self.expire(registry);
+        self.report_first_runs();
         self.propose_updates();
         std::mem::take(&mut self.effects)
     }
@@ -329,6 +333,7 @@
             job.is_some_and(|job| job.state == State::Open)
         };
         self.unexplained_losses.discard_ended(is_open);
+        self.prune_first_runs(registry);
         for (id, session) in &self.sessions {
             let quiet = self.now.saturating_duration_since(session.last_heard);
             if quiet > FORGET_SILENT_AFTER && registry.allocations_on(id).next().is_none() {
--- a/crates/plan/src/engine/hold.rs
+++ b/crates/plan/src/engine/hold.rs
@@ -355,7 +355,7 @@
             let is_restarted = tracked.born_ms != born_ms;
             if listed(&key) {
                 if is_restarted && running.contains(&key) {
-                    self.updates.push(Update::Moved {
+                    self.updates.push(Update::Running {
                         task: key.0,
                         run: key.1,
                         born_ms,
--- a/crates/plan/src/engine/mod.rs
+++ b/crates/plan/src/engine/mod.rs
@@ -9,6 +9,7 @@
 mod effort;
 mod engine;
 mod event;
+mod first_runs;
 mod hold;
 mod load_report;
 mod obstacle;
--- a/crates/plan/src/engine/runs.rs
+++ b/crates/plan/src/engine/runs.rs
@@ -302,6 +302,7 @@
         self.effort.checked += keys.len() as u64;
         for key in keys {
             self.check_lease(registry, key);
+            self.check_first_run(registry, key);
             self.check_need(registry, key);
             self.check_start(registry, key);
             self.check_progress(registry, key);
--- a/crates/plan/tests/loss/main.rs
+++ b/crates/plan/tests/loss/main.rs
@@ -7,3 +7,4 @@
 mod cut;
 mod failure;
 mod gang;
+mod waiting;
--- a/crates/work/src/registry/apply.rs
+++ b/crates/work/src/registry/apply.rs
@@ -169,7 +169,7 @@
                 blame,
                 ..
             } => self.void_run(&task, run, checkpoint, blame),
-            Update::Moved { task, run, born_ms } => self.move_run(&task, run, born_ms),
+            Update::Running { task, run, born_ms } => self.confirm_run(&task, run, born_ms),
             Update::Expire { before_ms } => {
                 self.jobs.retain(|_, job| {
                     job.ended_ms.is_none_or(|ended_ms| ended_ms >= before_ms)
@@ -264,7 +264,6 @@
             born_ms: placement.born_ms,
             assigned_ms: time_ms,
         });
-        job.begun = true;
         let allocation = Allocation {
             resources: step.reserved(),
             born_ms: placement.born_ms,
@@ -298,6 +297,25 @@
         Some(run)
     }
 
+    /// Takes note that an incarnation of its upstream runs the task.
+    fn confirm_run(&mut self, task: &id::Task, number: u32, born_ms: u64) {
+        let Some(run) = self.run(task, number) else {
+            return;
+        };
+        let is_moved = run.born_ms != born_ms;
+        self.begin_job(task.job);
+        if is_moved {
+            self.move_run(task, number, born_ms);
+        }
+    }
+
+    /// Records that a task of the job has started.
+    pub(super) fn begin_job(&mut self, id: id::Job) {
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.begun = true;
+        }
+    }
+
     /// Moves a run to another incarnation of its upstream.
     fn move_run(&mut self, task: &id::Task, number: u32, born_ms: u64) {
         let Some(run) = self.remove_run(task, number) else {
--- a/crates/work/src/registry/command.rs
+++ b/crates/work/src/registry/command.rs
@@ -87,8 +87,8 @@
         /// Whether the run may have crashed its upstream.
         blame: Blame,
     },
-    /// A later incarnation of the upstream runs a task that was sent to an earlier one.
-    Moved {
+    /// The upstream runs the task. It may be a later incarnation than the one to which the run was assigned.
+    Running {
         /// Task that the run belongs to.
         task: id::Task,
         /// Number of the run.
--- a/crates/work/src/registry/ends.rs
+++ b/crates/work/src/registry/ends.rs
@@ -31,6 +31,7 @@
     /// Applies the end of a run that the registry has.
     fn apply_end(&mut self, id: &id::Upstream, end: End) {
         self.remove_run(&end.task, end.run);
+        self.begin_job(end.task.job);
         match end.how {
             Outcome::Done => self.finish_task(&end.task),
             Outcome::Failed => self.fail_task(id, &end),
--- a/crates/work/src/registry/job.rs
+++ b/crates/work/src/registry/job.rs
@@ -27,7 +27,7 @@
     pub ended_ms: Option<u64>,
     /// Open, or how it ended.
     pub state: State,
-    /// Whether a run of it was ever assigned.
+    /// Whether a task of it is known to have started.
     pub begun: bool,
     /// Occurrences that have begun, by number.
     pub occurrences: IndexMap<u32, Occurrence>,
--- a/crates/work/src/registry/registry.rs
+++ b/crates/work/src/registry/registry.rs
@@ -185,7 +185,7 @@
         jobs.any(|job| job.ended_ms.is_some_and(|ended_ms| ended_ms < before_ms))
     }
 
-    /// Number of open jobs of a queue of which no run was ever assigned.
+    /// Number of open jobs of a queue of which no task is known to have started.
     pub fn unstarted_jobs(&self, queue: &str) -> usize {
         self.open_jobs()
             .filter(|job| job.queue == queue && !job.begun)
