--- a/crates/plan/src/engine/avoidance.rs
+++ b/crates/plan/src/engine/avoidance.rs
@@ -1,7 +1,7 @@
 use {
     super::{Engine, round::Round},
     crate::{order::Unit, place::Host},
-    std::time::Duration,
+    std::time::{Duration, Instant},
     work::collections::IndexMap,
 };
 
@@ -15,24 +15,45 @@
 /// Time after which an upstream gets work again where most upstreams of its service are paused because of failures.
 const MAX_PAUSE_OF_MOST: Duration = Duration::from_secs(2);
 
+/// A step that waits for an upstream without failures.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Avoidance {
+    since: Instant,
+    /// Whether it may run on upstreams with failures now.
+    is_over: bool,
+}
+
 /// Upstreams that work avoids because runs have failed there.
 impl Engine {
     /// Lets units run on upstreams with failures if no other upstream would take them or they have waited too long.
     pub(super) fn limit_avoidance(&mut self, round: &Round<'_>, units: &mut [Unit<'_>]) {
-        let earlier = std::mem::take(&mut self.avoiding_since);
+        let earlier = std::mem::take(&mut self.avoiding);
         for unit in units.iter_mut().filter(|unit| unit.avoids_failures()) {
-            let since = earlier.get(&unit.first_task).copied();
-            let since = since.unwrap_or(self.now);
-            self.avoiding_since.insert(unit.first_task, since);
+            let mut avoidance = earlier.get(&unit.first_task).copied().unwrap_or(Avoidance {
+                since: self.now,
+                is_over: false,
+            });
+            let waited = self.now.saturating_duration_since(avoidance.since);
             let idle = round.idle.get(unit.service).copied().unwrap_or(false);
             let limit = match idle || unit.step.lasting {
                 true => IDLE_WAIT,
                 false => BUSY_WAIT,
             };
-            let waited = self.now.saturating_duration_since(since);
             if waited >= limit || !round.hosts.iter().any(|host| host.accepts(unit)) {
+                if !avoidance.is_over {
+                    log::info!(
+                        "event=failures_accepted step={} tasks={} failed_on={} last_attempt={} waited_ms={}",
+                        unit.first_task,
+                        unit.tasks.len(),
+                        unit.failed_on.len(),
+                        unit.last_chance,
+                        waited.as_millis()
+                    );
+                }
+                avoidance.is_over = true;
                 unit.accept_failures();
             }
+            self.avoiding.insert(unit.first_task, avoidance);
         }
     }
 
--- a/crates/plan/src/engine/engine.rs
+++ b/crates/plan/src/engine/engine.rs
@@ -1,9 +1,9 @@
 use {
     super::{
         Effect, Effort, Event, Failure, Refusal, Settings, Target, addresses::Addresses,
-        advice::Advice, drain::Departures, first_runs::FirstRuns, reservations::Reservation,
-        session::Session, tracked_run::TrackedRun, unexplained_losses::UnexplainedLosses,
-        usage::Usage,
+        advice::Advice, avoidance::Avoidance, drain::Departures, first_runs::FirstRuns,
+        reservations::Reservation, session::Session, tracked_run::TrackedRun,
+        unexplained_losses::UnexplainedLosses, usage::Usage,
     },
     crate::{
         headroom::Headroom,
@@ -79,8 +79,8 @@
     pub(super) advice: Advice,
     pub(super) estimator: Estimator,
     pub(super) health: IndexMap<id::Upstream, Health>,
-    /// Since when ready steps wait for an upstream without failures, by the first task of the step.
-    pub(super) avoiding_since: IndexMap<id::Task, Instant>,
+    /// Ready steps that wait for an upstream without failures, by their first task.
+    pub(super) avoiding: IndexMap<id::Task, Avoidance>,
     pub(super) effects: Vec<Effect>,
     pub(super) updates: Vec<Update>,
     /// Runs that this step has ordered to stop.
@@ -135,7 +135,7 @@
             advice: Advice::default(),
             estimator: Estimator::default(),
             health: IndexMap::default(),
-            avoiding_since: IndexMap::default(),
+            avoiding: IndexMap::default(),
             effects: Vec::new(),
             updates: Vec::new(),
             stops: Vec::new(),
--- a/crates/plan/src/engine/planning.rs
+++ b/crates/plan/src/engine/planning.rs
@@ -351,7 +351,7 @@
     }
 
     fn assign(&mut self, round: &mut Round<'_>, unit: &Unit<'_>, tasks: &[u16], places: &[usize]) {
-        self.avoiding_since.swap_remove(&unit.first_task);
+        self.avoiding.swap_remove(&unit.first_task);
         round.reserve(unit, places);
         let mut placements = Vec::with_capacity(places.len());
         for (index, place) in tasks.iter().zip(places) {
--- a/crates/plan/src/engine/unexplained_losses.rs
+++ b/crates/plan/src/engine/unexplained_losses.rs
@@ -38,8 +38,13 @@
     pub fn confirm_crash(&mut self, upstream: &id::Upstream, born_ms: u64) {
         let is_of = |loss: &Loss| loss.upstream == *upstream && loss.born_ms == born_ms;
         let crashed = self.losses.extract_if(.., |_, loss| is_of(loss));
-        let crashed = crashed.map(|((task, _), loss)| (task, loss.blame));
-        self.crashes.extend(crashed);
+        for ((task, run), loss) in crashed {
+            log::warn!(
+                "event=crash_confirmed task={task} run={run} upstream={upstream} blame={}",
+                loss.blame
+            );
+            self.crashes.push((task, loss.blame));
+        }
     }
 
     /// Discards the losses with an upstream that has not crashed.
