--- a/crates/daemon/tests/processes/cluster.rs
+++ b/crates/daemon/tests/processes/cluster.rs
@@ -282,6 +282,8 @@
             }
         }
         if std::thread::panicking() {
+            self.folder.disable_cleanup(true);
+            eprintln!("logs are kept in {}", self.folder.path().display());
             for index in 0..self.children.len() {
                 let log = fs::read_to_string(self.log(index)).unwrap_or_default();
                 let tail: Vec<&str> = log.lines().rev().take(15).collect();
