--- a/crates/work/src/config/queue.rs
+++ b/crates/work/src/config/queue.rs
@@ -28,13 +28,13 @@
 }
 
 impl Queue {
-    /// Host and prefix, by which callers know the queue.
-    pub fn place(&self) -> String {
+    /// Host and prefix, by which callers address the queue.
+    pub fn endpoint(&self) -> String {
         format!("{}{}", self.host, self.prefix)
     }
 
-    /// Whether both have the same host and prefix.
-    pub fn has_place_of(&self, other: &Queue) -> bool {
+    /// Whether both take the requests of one host and prefix.
+    pub fn shares_endpoint_with(&self, other: &Queue) -> bool {
         self.host == other.host && self.prefix == other.prefix
     }
 }
--- a/crates/work/src/registry/queues.rs
+++ b/crates/work/src/registry/queues.rs
@@ -6,9 +6,10 @@
     },
 };
 
-/// Queues. Callers know them by host and prefix; their names are those of the latest configuration, or the last ones that
+/// Queues. Callers address them by host and prefix; their names are those of the latest configuration, or the last ones that
 /// they had.
 impl Registry {
+    /// Applies a configuration if its version is higher than the current one.
     pub(super) fn configure(&mut self, config: Config) {
         if self
             .config
@@ -33,15 +34,16 @@
         }
         let mut renamed: IndexMap<String, String> = IndexMap::default();
         for (name, queue) in std::mem::take(&mut self.queues) {
-            let has_place = |other: &&Queue| other.has_place_of(&queue);
-            if let Some(configured) = config.queues.iter().find(has_place) {
+            let is_same = |other: &&Queue| other.shares_endpoint_with(&queue);
+            if let Some(configured) = config.queues.iter().find(is_same) {
                 if configured.name != name {
                     renamed.insert(name, configured.name.clone());
                 }
             } else if queues.contains_key(&name) {
-                let unused = queue.place();
-                queues.insert(unused.clone(), queue);
-                renamed.insert(name, unused);
+                // The configuration has given the name to another queue.
+                let endpoint = queue.endpoint();
+                queues.insert(endpoint.clone(), queue);
+                renamed.insert(name, endpoint);
             } else {
                 queues.insert(name, queue);
             }
