--- a/crates/work/src/config/queue.rs
+++ b/crates/work/src/config/queue.rs
@@ -28,9 +28,15 @@
 }
 
 impl Queue {
-    /// Host and prefix, which identify the queue.
+    /// Host and prefix, which identify the queue. Different pairs never have the same text, and each text has a slash.
     pub fn endpoint(&self) -> String {
-        format!("{}{}", self.host, self.prefix)
+        let Queue { host, prefix, .. } = self;
+        // The first slash separates the two.
+        let is_plain = !host.is_empty() && !host.contains('/') && prefix.starts_with('/');
+        match is_plain {
+            true => format!("{host}{prefix}"),
+            false => format!("/{}:{host}{prefix}", host.len()),
+        }
     }
 
     /// Whether both take the requests of one host and prefix.
--- a/crates/work/tests/queues.rs
+++ b/crates/work/tests/queues.rs
@@ -1,11 +1,14 @@
 //! What becomes of the jobs of a queue when the configuration renames, replaces or drops it, or gives its name to another
 //! one too.
 
-use work::{
-    config::{Config, Queue, Service},
-    id,
-    job::{Definition, Step},
-    registry::{Answer, Command, Registry},
+use {
+    indexmap::IndexSet,
+    work::{
+        config::{Config, Queue, Service},
+        id,
+        job::{Definition, Step},
+        registry::{Answer, Command, Registry},
+    },
 };
 
 const FIRST: id::Job = id::Job(1);
@@ -125,6 +128,26 @@
     assert_eq!(registry.unstarted_jobs("host/2/"), 1);
 }
 
+/// Guards against jobs that run on the service of another queue because host and prefix of both make one text.
+#[test]
+fn different_hosts_and_prefixes_are_different_endpoints() {
+    let endpoint = |host: &str, prefix: &str| {
+        let queue = Queue {
+            host: host.into(),
+            prefix: prefix.into(),
+            ..Queue::default()
+        };
+        queue.endpoint()
+    };
+    let parts = ["", "/", "1", "a", "a/", "/a", "1:", "/1:", "1:a/"];
+    let mut texts = IndexSet::new();
+    for host in parts {
+        for prefix in parts {
+            assert!(texts.insert(endpoint(host, prefix)), "{host:?} {prefix:?}");
+        }
+    }
+}
+
 /// Guards against a registry that is not the same after it was stored and read.
 #[test]
 fn queues_are_the_same_after_a_restart() {
--- a/crates/work/tests/stored.rs
+++ b/crates/work/tests/stored.rs
@@ -23,7 +23,15 @@
     "0161011400000000000000000000000000000101610161010b31302e302e302e313a383002646304706f6f6c0000000000000000",
 );
 
-/// A command of that build which moves run 1 of the task to the incarnation 2 of its upstream.
+/// Snapshot of the build at commit c62a54a, which identified queues by host and prefix without a separator: host `host` and
+/// prefix `x/` with a job.
+const UNSEPARATED_SNAPSHOT: &str = concat!(
+    "0201010001036f646404686f737402782f04706f6f6ce807000000000000000000000000000104706f6f6c0000008080100106686f737478",
+    "2f036f646404686f737402782f04706f6f6ce807000000000000000000000000000101010006686f7374782f000101000000000000000000",
+    "00000000000000000002000000000000",
+);
+
+/// A command of the build at commit 80f5319 which moves run 1 of the task to the incarnation 2 of its upstream.
 const MOVED: &str = "051e0103010000000102";
 
 fn bytes(hex: &str) -> Vec<u8> {
@@ -47,6 +55,17 @@
     assert!(registry.run(&TASK, 1).is_some());
 }
 
+/// Guards against jobs that lose their queue when a build with another text for host and prefix reads them.
+#[test]
+fn jobs_keep_their_queue_whose_prefix_has_no_slash() {
+    let registry = Registry::load(&bytes(UNSEPARATED_SNAPSHOT)).unwrap();
+    let queue = registry.queue(&registry.job(JOB).unwrap().queue);
+    assert_eq!(
+        queue.map(|queue| (queue.host.as_str(), queue.prefix.as_str())),
+        Some(("host", "x/"))
+    );
+}
+
 /// Guards against a command that instances of the build before and after understand differently.
 #[test]
 fn a_command_of_an_earlier_build_is_read() {
