work: never take the endpoint of a dropped queue for a name

Cause: endpoint_of took a reference that is no queue's endpoint for the name of a queue, as in commands of builds before. Ruled out: the choice of the queue at submission, which goes by host and prefix.

Evidence before the change: work/tests/queues.rs, a_job_for_a_dropped_queue_does_not_enter_the_queue_of_that_name, failed; work/tests/routes.rs failed after 14 cases once submissions could be applied behind the next configuration (its names already held an endpoint). Both pass now.

Each endpoint has a slash, so a reference with one is no name. The job stays without a queue, and so does not run, until its caller submits it again, as the unclear answer asks.

--- a/crates/work/src/registry/queues.rs
+++ b/crates/work/src/registry/queues.rs
@@ -46,9 +46,10 @@
         });
     }
 
-    /// Endpoint of the queue that a stored command or job refers to. Earlier builds refer to it by name.
+    /// Endpoint of the queue that a submission refers to. Earlier builds refer to it by name.
     pub(super) fn endpoint_of(&self, reference: String) -> String {
-        if self.queues.contains_key(&reference) {
+        // Endpoints have a slash. That of a queue which was dropped meanwhile may be the name of another queue.
+        if self.queues.contains_key(&reference) || reference.contains('/') {
             return reference;
         }
         let mut configured = self.config.iter().flat_map(|config| &config.queues);
--- a/crates/work/tests/queues.rs
+++ b/crates/work/tests/queues.rs
@@ -128,6 +128,20 @@
     assert_eq!(registry.unstarted_jobs("host/2/"), 1);
 }
 
+/// Guards against a job that runs on the service of another queue because its own was dropped while it was on its way, and
+/// the other one has host and prefix of the dropped queue as its name. Submitted again there, it runs there.
+#[test]
+fn a_job_for_a_dropped_queue_does_not_enter_the_queue_of_that_name() {
+    let mut registry = Registry::default();
+    configure(&mut registry, 1, &[("x", "/1/", "a")]);
+    configure(&mut registry, 2, &[("host/1/", "/2/", "b")]);
+    submit(&mut registry, FIRST, "host/1/");
+    assert_eq!(queue_of(&registry, FIRST), None);
+    assert_eq!(registry.unstarted_jobs("host/2/"), 0);
+    assert_eq!(submit(&mut registry, FIRST, "host/2/"), Answer::Accepted);
+    assert_eq!(queue_of(&registry, FIRST), Some(("host/1/", "b")));
+}
+
 /// Guards against jobs that run on the service of another queue because host and prefix of both make one text.
 #[test]
 fn different_hosts_and_prefixes_are_different_endpoints() {
