--- a/crates/daemon/src/daemon/daemon.rs
+++ b/crates/daemon/src/daemon/daemon.rs
@@ -111,10 +111,12 @@
         .await
         .map_err(Error::Api)?;
         log::info!(
-            "event=started instance={} api={} requests={}",
+            "event=started instance={} api={} requests={} version={} commit={}",
             own.name,
             api.address(),
-            requests.address()
+            requests.address(),
+            build::CURRENT.version(),
+            build::CURRENT.commit()
         );
         Ok(Daemon {
             instance,
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -39,6 +39,9 @@
     /// check the settings and exit
     #[argh(switch)]
     check: bool,
+    /// print the version and the commit of this build and exit
+    #[argh(switch)]
+    version: bool,
     #[argh(subcommand)]
     command: Option<Command>,
 }
@@ -63,6 +66,10 @@
 
 fn main() -> ExitCode {
     let arguments: Arguments = argh::from_env();
+    if arguments.version {
+        println!("trefoilvalved {}", build::CURRENT);
+        return ExitCode::SUCCESS;
+    }
     match &arguments.command {
         Some(Command::Recover(arguments)) => return recover(arguments),
         Some(Command::Entry(_)) => return serve(Role::Entry),
--- a/crates/daemon/src/metrics/metrics.rs
+++ b/crates/daemon/src/metrics/metrics.rs
@@ -22,6 +22,7 @@
     /// Registers the metrics of the instance beside those in `register`.
     pub fn new(mut register: Register, desk: Arc<Desk>) -> Result<Metrics, Error> {
         register.add_boxed(Box::new(ProcessCollector::for_self()))?;
+        register.add(build::CURRENT.metric())?;
         let gauges = Gauges::new(&mut register)?;
         let announcements = register.add(IntCounterVec::new(
             Opts::new(
--- a/crates/dispatch/src/control/answer.rs
+++ b/crates/dispatch/src/control/answer.rs
@@ -236,8 +236,9 @@
         })?;
         if is_changed {
             log::info!(
-                "event=upstream_registered upstream={id} born_ms={born_ms} address={} draining={} sequence={sequence}",
+                "event=upstream_registered upstream={id} born_ms={born_ms} address={} service={} draining={} sequence={sequence}",
                 upstream.address,
+                upstream.service,
                 upstream.draining
             );
             let upstream = Box::new(upstream);
--- a/crates/plan/src/engine/runs.rs
+++ b/crates/plan/src/engine/runs.rs
@@ -132,7 +132,11 @@
             ticket,
         };
         log::info!(
-            "event=run_start task={task} run={run} upstream={upstream} try={} resumed={} waited_ms={}",
+            "event=run_start task={task} run={run} upstream={upstream} service={} queue={} try={} resumed={} waited_ms={}",
+            registry
+                .upstream(&upstream)
+                .map_or("-", |upstream| &upstream.service),
+            job.queue,
             tracked.start_attempts,
             !order.checkpoint.is_empty(),
             self.time_ms.saturating_sub(job.accepted_ms)
