build: compile without a checkout

The build in a folder without .git failed: vergen-gitcl passes nothing then, where a placeholder was expected. Found by trying it before anything was released; the version test passes now in an exported folder, in a clone without the git program, and in a checkout.

--- a/crates/build/build.rs
+++ b/crates/build/build.rs
@@ -3,7 +3,7 @@
 use vergen_gitcl::{Emitter, Gitcl};
 
 fn main() -> Result<(), Box<dyn std::error::Error>> {
-    // Without git or a checkout the value is a placeholder.
+    // Passes nothing without git or a checkout.
     Emitter::default()
         .add_instructions(&Gitcl::builder().sha(false).build())?
         .emit()?;
--- a/crates/build/src/lib.rs
+++ b/crates/build/src/lib.rs
@@ -5,20 +5,17 @@
     std::fmt,
 };
 
-/// What the build script passes without git or a checkout.
-const PLACEHOLDER: &str = "VERGEN_IDEMPOTENT_OUTPUT";
-
 /// The build that runs.
 pub const CURRENT: Build = Build {
     version: env!("CARGO_PKG_VERSION"),
-    sha: env!("VERGEN_GIT_SHA"),
+    sha: option_env!("VERGEN_GIT_SHA"),
 };
 
 /// Version and source of a build.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Build {
     version: &'static str,
-    sha: &'static str,
+    sha: Option<&'static str>,
 }
 
 impl Build {
@@ -30,10 +27,7 @@
     /// Hash of the commit that was checked out when the program was built; `unknown` without a checkout. Changes that
     /// were not committed do not show.
     pub fn commit(&self) -> &'static str {
-        match self.sha {
-            PLACEHOLDER => "unknown",
-            sha => sha,
-        }
+        self.sha.unwrap_or("unknown")
     }
 
     /// The metric with version and commit as labels; its value is always 1.
