route, control: hand shares back at the end of an instance

Callers waited although slots were free: slots stayed charged to an instance after its graceful shutdown, for its lease and the longest deadline (63 s).

Two causes, found by reading: - The report that gives the shares up was left to the loop, each 500 ms, but the instance ends 300 ms after its last request. It reports once more now, for at most 2 s. - A grant that was on its way when the shares were given up stayed charged: the report named the last applied grant, and the granter keeps all later ones. An instance whose listener is closed applies no grant any more, and its report says so by the highest number as the last applied grant.

--- a/crates/control/src/instance/instance.rs
+++ b/crates/control/src/instance/instance.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Calls, Error, Setup, handler::Server},
+    super::{Calls, Error, Setup, handler::Server, loops},
     crate::{
         follow::{Follower, Ledger},
         group::{self, Group},
@@ -21,6 +21,9 @@
 /// Announcements of different workers that wait for the next report.
 const MAX_RELAYED: usize = 4096;
 
+/// Time for the last reports of an instance that shuts down, so that leaders that do not answer delay its end little.
+const FINAL_REPORT_LIMIT: Duration = Duration::from_secs(2);
+
 /// A running instance.
 pub struct Instance {
     pub(super) setup: Setup,
@@ -207,8 +210,10 @@
         self.stopped.load(Ordering::Relaxed)
     }
 
-    /// Hands over leadership and ends all loops and replicas.
+    /// Reports for the last time, hands over leadership and ends all loops and replicas.
     pub async fn shutdown(&self) {
+        // The next report of the loop may be due only after the end of the process.
+        let _ = tokio::time::timeout(FINAL_REPORT_LIMIT, loops::report_all(self)).await;
         for group in self.groups.values() {
             group.transfer_leadership();
         }
--- a/crates/control/src/instance/loops.rs
+++ b/crates/control/src/instance/loops.rs
@@ -199,20 +199,30 @@
 async fn report(instance: Arc<Instance>, group: String) {
     while !instance.is_stopped() {
         time::sleep(REPORT_EVERY).await;
-        let report = Report {
-            workers: instance.take_relay(&group),
-            demand: instance.setup.exchange.demand(&group),
-        };
-        if report.workers.is_empty() && report.demand.is_empty() {
-            continue;
-        }
-        let Ok(bytes) = postcard::to_stdvec(&report) else {
-            continue;
-        };
-        match instance.report(&group, &bytes).await {
-            Ok(grants) => instance.setup.exchange.granted(&grants),
-            Err(error) => log::warn!("event=report_failed group={group} error=\"{error}\""),
-        }
+        report_once(&instance, &group).await;
+    }
+}
+
+/// Reports once to the leaders of all groups that keep shares.
+pub(super) async fn report_all(instance: &Instance) {
+    let groups: IndexSet<&String> = instance.setup.homes.values().collect();
+    future::join_all(groups.into_iter().map(|group| report_once(instance, group))).await;
+}
+
+async fn report_once(instance: &Instance, group: &str) {
+    let report = Report {
+        workers: instance.take_relay(group),
+        demand: instance.setup.exchange.demand(group),
+    };
+    if report.workers.is_empty() && report.demand.is_empty() {
+        return;
+    }
+    let Ok(bytes) = postcard::to_stdvec(&report) else {
+        return;
+    };
+    match instance.report(group, &bytes).await {
+        Ok(grants) => instance.setup.exchange.granted(&grants),
+        Err(error) => log::warn!("event=report_failed group={group} error=\"{error}\""),
     }
 }
 
--- a/crates/control/tests/peers/helpers.rs
+++ b/crates/control/tests/peers/helpers.rs
@@ -28,7 +28,7 @@
 
 const TIMEOUT: Duration = Duration::from_secs(20);
 
-struct Nobody;
+pub struct Nobody;
 
 impl Link for Nobody {
     fn order(&self, _: &str, _: Vec<Order>) -> BoxFuture<'static, Result<Answer, Error>> {
@@ -65,7 +65,12 @@
 }
 
 /// Starts instance `id` of two; the only member of both groups is instance 1.
-fn spawn(id: u64, addresses: [SocketAddr; 2], folder: Option<&TempDir>) -> Arc<Instance> {
+fn spawn(
+    id: u64,
+    addresses: [SocketAddr; 2],
+    folder: Option<&TempDir>,
+    exchange: Arc<dyn Exchange>,
+) -> Arc<Instance> {
     let place = |name: &str, peers| Place {
         name: name.into(),
         site: Site {
@@ -89,7 +94,7 @@
         config_lease: Duration::from_secs(5),
         call_timeout: Duration::from_secs(2),
         link: Arc::new(Nobody),
-        exchange: Arc::new(Nobody),
+        exchange,
         observer: Arc::new(()),
         clock: Arc::new(System),
     };
@@ -99,12 +104,14 @@
 /// Instance 1, a control instance; instance 2 is played by the test.
 pub fn instance(folder: &TempDir) -> (Arc<Instance>, SocketAddr) {
     let address = free();
-    (spawn(1, [address, free()], Some(folder)), address)
+    let addresses = [address, free()];
+    let instance = spawn(1, addresses, Some(folder), Arc::new(Nobody));
+    (instance, address)
 }
 
 /// Instance 2, without a disk; instance 1 is played by the test at `leader`.
-pub fn follower(leader: SocketAddr) -> Arc<Instance> {
-    spawn(2, [leader, free()], None)
+pub fn follower(leader: SocketAddr, exchange: Arc<dyn Exchange>) -> Arc<Instance> {
+    spawn(2, [leader, free()], None, exchange)
 }
 
 /// Peers of instance 2, which calls instance 1 at `address`.
--- a/crates/control/tests/peers/instance.rs
+++ b/crates/control/tests/peers/instance.rs
@@ -1,7 +1,7 @@
 use {
-    super::helpers::{LIMIT, caller, follower, instance, works},
+    super::helpers::{LIMIT, Nobody, caller, follower, instance, works},
     control::{
-        instance::{Query, WorkerView},
+        instance::{Exchange, Query, WorkerView},
         peers::{Handler, Peers, Reply},
         state::{Answer, Command},
     },
@@ -13,7 +13,7 @@
     std::{
         sync::{
             Arc,
-            atomic::{AtomicBool, Ordering},
+            atomic::{AtomicBool, AtomicU64, Ordering},
         },
         time::{Duration, Instant},
     },
@@ -150,7 +150,7 @@
     let garbled = AtomicBool::new(false);
     let leader = Arc::new(Leader { garbled });
     peers.set_handler(leader.clone());
-    let instance = follower(peers.address());
+    let instance = follower(peers.address(), Arc::new(Nobody));
     until("a lease", || instance.current().is_some()).await;
     leader.garbled.store(true, Ordering::Relaxed);
     until("the end of the lease", || instance.current().is_none()).await;
@@ -158,3 +158,53 @@
     assert!(instance.current().is_none());
     instance.stop();
 }
+
+/// Counts the reports of demand that are answered.
+#[derive(Default)]
+struct Reporter {
+    answered: AtomicU64,
+}
+
+impl Exchange for Reporter {
+    fn gossip(&self) -> Vec<(u64, Vec<u8>)> {
+        Vec::new()
+    }
+
+    fn merge(&self, _: &[u8]) {}
+
+    fn demand(&self, _: &str) -> Vec<u8> {
+        b"demand".to_vec()
+    }
+
+    fn grant(&self, _: &str, _: &[u8], _: u64, _: Instant) -> Vec<u8> {
+        Vec::new()
+    }
+
+    fn granted(&self, _: &[u8]) {
+        self.answered.fetch_add(1, Ordering::SeqCst);
+    }
+
+    fn counts(&self) -> Vec<u8> {
+        Vec::new()
+    }
+}
+
+/// Guards against shares that are not handed back because an instance ends before its next report is due.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_shutdown_reports_at_once() {
+    let folder = TempDir::new().unwrap();
+    let (leader, address) = instance(&folder);
+    let reporter = Arc::new(Reporter::default());
+    let answered = || reporter.answered.load(Ordering::SeqCst);
+    let leaving = follower(address, reporter.clone());
+    until("an answered report", || answered() > 0).await;
+    let before = answered();
+    until("another one, so that the next is not due soon", || {
+        answered() > before
+    })
+    .await;
+    let before = answered();
+    leaving.shutdown().await;
+    assert!(answered() > before, "no report before the end");
+    leader.stop();
+}
--- a/crates/daemon/tests/exchange.rs
+++ b/crates/daemon/tests/exchange.rs
@@ -139,6 +139,35 @@
     );
 }
 
+/// Guards against shares that stay charged to an instance after its graceful shutdown: a grant was on its way to it when
+/// its listener had closed.
+#[test]
+fn the_last_report_hands_all_shares_back() {
+    let clock = Arc::new(Manual::new());
+    let (leader, leaving) = (Side::new(1, &clock), Side::new(2, &clock));
+    let since = clock.now();
+    let mut round = 0;
+    let mut step = |is_leaving: bool| {
+        clock.advance(STEP);
+        round += 1;
+        announce(&leader, round);
+        announce(&leaving, round);
+        if !is_leaving {
+            report(&leader, &leaving, 1, since, false);
+        }
+        report(&leader, &leader, 1, since, false);
+    };
+    (0..40).for_each(|_| step(false));
+    let shared = leader.slots();
+    assert!(leaving.slots() > 0, "nothing was shared");
+    report(&leader, &leaving, 1, since, true);
+    leaving.desk.observe(Event::Drain);
+    leaving.desk.observe(Event::Closed);
+    report(&leader, &leaving, 1, since, true);
+    (0..4).for_each(|_| step(true));
+    assert_eq!(leader.slots(), UPSTREAMS as u32 * 8, "{shared} before");
+}
+
 /// Guards against membership messages that lose an upstream or its optional fields in the compact encoding.
 #[test]
 fn an_upstream_reaches_the_other_instance_as_it_was_announced() {
--- a/crates/entry/src/server/server.rs
+++ b/crates/entry/src/server/server.rs
@@ -151,6 +151,9 @@
         while Instant::now() < end && is_busy() {
             sleep(DRAIN_POLL).await;
         }
+        if !is_busy() {
+            desk.observe(route::Event::Closed);
+        }
         let now = desk.clock().now();
         let left = self
             .shared
--- a/crates/route/src/router/demand.rs
+++ b/crates/route/src/router/demand.rs
@@ -38,7 +38,12 @@
             // No request follows. Unless the shares are released, the granter counts them as used until the
             // longest deadline after the end of the process.
             self.demand.clear();
-            self.holder(region, now).release();
+            let closed = self.closed;
+            let holder = self.holder(region, now);
+            match closed {
+                true => holder.retire(),
+                false => holder.release(),
+            }
         }
         let (own, other) = if self.draining {
             (0.0, 0.0)
--- a/crates/route/src/router/event.rs
+++ b/crates/route/src/router/event.rs
@@ -54,6 +54,8 @@
     },
     /// The instance is shutting down: it demands slots only for the requests that it has.
     Drain,
+    /// The listener is closed: no request follows those that the instance has.
+    Closed,
 }
 
 /// How an attempt ended.
--- a/crates/route/src/router/router.rs
+++ b/crates/route/src/router/router.rs
@@ -40,6 +40,8 @@
     pub(super) demand: IndexMap<(String, String), (f64, f64)>,
     pub(super) demand_updated: Option<Instant>,
     pub(super) draining: bool,
+    /// Whether no request follows the pending ones.
+    pub(super) closed: bool,
     pub(super) config: Option<Arc<Config>>,
     /// By request id.
     pub(super) pending: HashMap<u64, Pending>,
@@ -74,6 +76,7 @@
             demand: IndexMap::new(),
             demand_updated: None,
             draining: false,
+            closed: false,
             config: None,
             pending: HashMap::new(),
             attempts: HashMap::new(),
@@ -186,6 +189,7 @@
                 self.dispatch(now, &mut actions);
             }
             Event::Drain => self.draining = true,
+            Event::Closed => self.closed = true,
         }
         actions
     }
--- a/crates/route/src/share/granter.rs
+++ b/crates/route/src/share/granter.rs
@@ -1,5 +1,5 @@
 use {
-    super::{DRIFT, Grant, LEASE, Report, Share},
+    super::{DRIFT, Grant, LEASE, Report, Share, report::RETIRED},
     crate::faults::{Fault, injected},
     indexmap::IndexMap,
     std::time::{Duration, Instant},
@@ -226,12 +226,12 @@
         }
         process.last_report = report.number;
         let was_in_term = process.in_term;
-        process.in_term |= report.term == self.term && report.applied > 0;
-        let applied = if report.term == self.term {
+        let applied = if report.term == self.term || report.applied == RETIRED {
             report.applied
         } else {
             0
         };
+        process.in_term |= applied > 0;
         for allocation in process.allocations.values_mut() {
             allocation.want = 0;
         }
--- a/crates/route/src/share/holder.rs
+++ b/crates/route/src/share/holder.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Grant, Report, Row},
+    super::{Grant, Report, Row, report::RETIRED},
     indexmap::IndexMap,
     std::{
         collections::VecDeque,
@@ -24,6 +24,8 @@
     applied: (u64, u64),
     lease_end: Option<Instant>,
     shares: IndexMap<String, u16>,
+    /// Whether no grant is applied any more.
+    retired: bool,
 }
 
 impl Holder {
@@ -39,6 +41,7 @@
             applied: (0, 0),
             lease_end: None,
             shares: IndexMap::new(),
+            retired: false,
         }
     }
 
@@ -87,7 +90,10 @@
             number: self.last_report,
             age_ms: now.duration_since(self.started).as_millis() as u64,
             term: self.applied.0,
-            applied: self.applied.1,
+            applied: match self.retired {
+                true => RETIRED,
+                false => self.applied.1,
+            },
             rows,
         }
     }
@@ -99,7 +105,8 @@
     /// sent, the renewal would restore them. So a grant that answers a report of an earlier term raises no
     /// share.
     pub fn apply(&mut self, grant: &Grant, now: Instant) -> bool {
-        if grant.instance != self.instance
+        if self.retired
+            || grant.instance != self.instance
             || grant.boot != self.boot
             || grant.region != self.region
             || (grant.term, grant.sequence) <= self.applied
@@ -141,6 +148,13 @@
         self.lease_end = None;
     }
 
+    /// Gives up all shares for good. Grants that are still on their way are not applied; the next report tells the
+    /// granter, which then charges none of them.
+    pub fn retire(&mut self) {
+        self.release();
+        self.retired = true;
+    }
+
     /// Iterates over the shares of the last applied grant: upstream and slots. They may have ended.
     pub fn shares(&self) -> impl Iterator<Item = (&str, u16)> {
         self.shares
--- a/crates/route/src/share/report.rs
+++ b/crates/route/src/share/report.rs
@@ -1,5 +1,8 @@
 use serde::{Deserialize, Serialize};
 
+/// [`Report::applied`] of a process that applies no grant any more.
+pub(super) const RETIRED: u64 = u64::MAX;
+
 /// Report of a process to the granter of a region, sent every 500 ms, which asks for a [`super::Grant`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
@@ -15,7 +18,8 @@
     pub age_ms: u64,
     /// Term of the last applied grant; 0 before the first.
     pub term: u64,
-    /// Sequence number of the last applied grant; 0 before the first.
+    /// Sequence number of the last applied grant; 0 before the first. The highest number from a process that applies no
+    /// grant any more, whatever its term.
     pub applied: u64,
     /// Upstreams of which the process holds or wants slots.
     pub rows: Vec<Row>,
--- a/crates/route/tests/shares.rs
+++ b/crates/route/tests/shares.rs
@@ -24,6 +24,8 @@
     rate: f64,
     offset: Duration,
     next_report: Instant,
+    /// Starts no further request, and ends once it has reported that its last one has ended.
+    leaving: bool,
     /// Demand for each upstream, in hundredths of a slot.
     want: u32,
     alive: bool,
@@ -96,6 +98,7 @@
             rate,
             offset,
             next_report: self.now,
+            leaving: false,
             want: 100,
             alive: true,
             disconnected_until: self.start,
@@ -141,6 +144,8 @@
             }
             if self.rng.random_bool(0.001) {
                 self.processes[index].alive = false;
+            } else if self.rng.random_bool(0.001) {
+                self.processes[index].leaving = true;
             } else if self.rng.random_bool(0.002) {
                 self.processes[index].disconnected_until =
                     self.now + ms(self.rng.random_range(500..9000));
@@ -197,6 +202,11 @@
                 .collect();
             let process = &mut self.processes[index];
             process.next_report = now + ms(500);
+            let is_idle = rows.iter().all(|(_, busy, _)| *busy == 0);
+            if process.leaving && is_idle {
+                process.holder.retire();
+                process.alive = self.rng.random_bool(0.5);
+            }
             let local = process.local_time(now, start);
             let report = process.holder.report(rows, local);
             if now >= process.disconnected_until {
@@ -237,7 +247,8 @@
                 let local = self.processes[index].local_time(self.now, self.start);
                 let limit = self.processes[index].holder.limit(&format!("u{at}"), local);
                 let mut busy = self.busy(at, index);
-                while self.processes[index].alive && busy < limit && self.rng.random_bool(0.6) {
+                let may_start = self.processes[index].alive && !self.processes[index].leaving;
+                while may_start && busy < limit && self.rng.random_bool(0.6) {
                     let time = self.rng.random_range(20..MAX_DEADLINE.as_millis() as u64);
                     self.running.push((at, index, self.now + ms(time)));
                     busy += 1;
@@ -283,6 +294,48 @@
     Ok(())
 }
 
+/// Guards against slots that stay charged to a process after its shutdown because a grant was on its way to it.
+#[test]
+fn grants_on_their_way_are_not_charged_to_a_process_that_has_left() {
+    let mut now = Instant::now();
+    let mut granter = Granter::new(REGION, 1, &[1, 2], MAX_DEADLINE, now);
+    let mut leaving = Holder::new(REGION, 1, 1, now);
+    let mut other = Holder::new(REGION, 2, 2, now);
+    let mut exchange = |holder: &mut Holder, want: u32, is_received: bool, now: Instant| {
+        let capacity = Capacity {
+            upstream: "u".into(),
+            slots: 8,
+            busy: Some(0),
+            age: ms(0),
+        };
+        granter.set_capacities([capacity], now);
+        let report = holder.report([("u".to_owned(), 0, want)], now);
+        let grant = granter.grant(&report, now).unwrap();
+        if is_received {
+            holder.apply(&grant, now);
+        }
+        grant
+    };
+    for _ in 0..12 {
+        now += ms(500);
+        exchange(&mut leaving, 400, true, now);
+        exchange(&mut other, 400, true, now);
+    }
+    assert_eq!((leaving.limit("u", now), other.limit("u", now)), (4, 4));
+    let late = exchange(&mut leaving, 400, false, now);
+    leaving.retire();
+    exchange(&mut leaving, 0, false, now);
+    assert!(
+        !leaving.apply(&late, now),
+        "a grant after the end was applied"
+    );
+    for _ in 0..2 {
+        now += ms(500);
+        exchange(&mut other, 800, true, now);
+    }
+    assert_eq!(other.limit("u", now), 8);
+}
+
 /// An upstream must not get more requests at once than it has slots.
 #[test]
 fn sum_never_exceeds_slots() {
