daemon: let requests run until the withdrawal is in force

The test is at fault: its requests run for 700 ms, and it counts those that run once it has seen that the note is in force, which may be later.

Requests in the withdrawn place now run until they are counted (fake::upstream::Upstream::hold), then end. All checks are as they were: nothing begins there after the note is in force, each request is answered or told that it did not run, requests were queued, and some ran.

--- a/crates/daemon/tests/processes/withdraw.rs
+++ b/crates/daemon/tests/processes/withdraw.rs
@@ -68,6 +68,8 @@
             .await;
     }
     north.upstreams[0].record();
+    // What runs in the north when the note comes still does when it is in force, however long that takes.
+    north.upstreams[0].hold();
     // Instances 0, 1, 2 and 4 stand in the north. Each gets more requests than the upstreams have slots, so
     // that most are queued when the note comes.
     let mut calls = JoinSet::new();
@@ -98,6 +100,7 @@
     let in_force = Instant::now();
     let running = north.upstreams[0].busy();
     let left = calls.len();
+    north.upstreams[0].release();
     while let Some(ended) = calls.join_next().await {
         let (id, status, no) = ended.unwrap();
         // Every request is answered by its upstream or told that it did not run.
--- a/crates/fake/src/upstream/upstream.rs
+++ b/crates/fake/src/upstream/upstream.rs
@@ -43,6 +43,7 @@
     address: SocketAddr,
     inner: Arc<Mutex<Inner>>,
     silent: watch::Sender<bool>,
+    held: watch::Sender<bool>,
     task: JoinHandle<()>,
 }
 
@@ -61,7 +62,12 @@
             .map_or(1, |elapsed| elapsed.as_millis() as u64);
         lock(&inner).sequence = wall;
         let (silent, heard) = watch::channel(false);
-        let task = tokio::spawn(accept(listener, inner.clone(), heard));
+        let (held, hold) = watch::channel(false);
+        let signals = Signals {
+            silent: heard,
+            held: hold,
+        };
+        let task = tokio::spawn(accept(listener, inner.clone(), signals));
         let upstream = model::upstream::Upstream {
             name: name.to_owned(),
             service: service.to_owned(),
@@ -75,6 +81,7 @@
             address,
             inner,
             silent,
+            held,
             task,
         })
     }
@@ -112,6 +119,16 @@
         self.silent.send_replace(true);
     }
 
+    /// Keeps requests that arrive from now on in progress until they are [released](Upstream::release).
+    pub fn hold(&self) {
+        self.held.send_replace(true);
+    }
+
+    /// Goes on with all requests.
+    pub fn release(&self) {
+        self.held.send_replace(false);
+    }
+
     /// Records every request from now on.
     pub fn record(&self) {
         lock(&self.inner).runs.get_or_insert_default();
@@ -159,7 +176,14 @@
     }
 }
 
-async fn accept(listener: TcpListener, inner: Arc<Mutex<Inner>>, silent: watch::Receiver<bool>) {
+/// What the owner of a stand-in tells its connections.
+#[derive(Clone)]
+struct Signals {
+    silent: watch::Receiver<bool>,
+    held: watch::Receiver<bool>,
+}
+
+async fn accept(listener: TcpListener, inner: Arc<Mutex<Inner>>, signals: Signals) {
     // Connections end with the task, when the set is dropped.
     let mut connections = JoinSet::new();
     loop {
@@ -167,7 +191,7 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 lock(&inner).connections += 1;
-                connections.spawn(serve(stream, inner.clone(), silent.clone()));
+                connections.spawn(serve(stream, inner.clone(), signals.clone()));
             }
             Err(_) => sleep(Duration::from_millis(20)).await,
         }
@@ -192,7 +216,7 @@
     }
 }
 
-async fn serve(mut stream: TcpStream, inner: Arc<Mutex<Inner>>, mut silent: watch::Receiver<bool>) {
+async fn serve(mut stream: TcpStream, inner: Arc<Mutex<Inner>>, mut signals: Signals) {
     if stream.set_nodelay(true).is_err() {
         return;
     }
@@ -201,8 +225,11 @@
         let (behaviour, busy) = begin(&inner, &received);
         let mut busy = Some(busy);
         let open = tokio::select! {
-            open = exchange::answer(&mut stream, &received, &behaviour, &mut busy) => open,
-            () = async { drop(silent.wait_for(|silent| *silent).await) } => {
+            open = async {
+                drop(signals.held.wait_for(|held| !*held).await);
+                exchange::answer(&mut stream, &received, &behaviour, &mut busy).await
+            } => open,
+            () = async { drop(signals.silent.wait_for(|silent| *silent).await) } => {
                 exchange::until_closed(&mut stream).await;
                 Ok(false)
             }
