--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/group/stored.rs
@@ -1,5 +1,3 @@
-//! What instances have stored.
-
 use {dispatch::state::ControlState, quorum::Payload, replica::StateMachine, std::path::Path};
 
 /// What a copy of the disk holds, as after a loss of power.
