--- a/crates/control/src/instance/instance.rs
+++ b/crates/control/src/instance/instance.rs
@@ -213,7 +213,16 @@
     /// Reports for the last time, hands over leadership and ends all loops and replicas.
     pub async fn shutdown(&self) {
         // The next report of the loop may be due only after the end of the process.
-        let _ = tokio::time::timeout(FINAL_REPORT_LIMIT, loops::report_all(self)).await;
+        let reports = loops::report_all(self);
+        if tokio::time::timeout(FINAL_REPORT_LIMIT, reports)
+            .await
+            .is_err()
+        {
+            log::warn!(
+                "event=final_report_unanswered limit_ms={}",
+                FINAL_REPORT_LIMIT.as_millis()
+            );
+        }
         for group in self.groups.values() {
             group.transfer_leadership();
         }
