--- a/review/common-2/cases.rs
+++ b/review/common-2/cases.rs
@@ -1,12 +1,22 @@
 //! The cases.
 
-use super::{Duration, Instant, Link, Scene, thread};
+use {
+    crate::{
+        minion::Link,
+        scene::{GUARANTEED_KEY, Scene, URGENT},
+        system::{LARGE, PLAN},
+    },
+    std::{
+        sync::atomic::Ordering,
+        thread,
+        time::{Duration, Instant},
+    },
+};
 
 pub fn play(case: &str, binary: &str, record: &str) -> i32 {
     let site = match case {
-        "idle-clock" => &super::LARGE,
-        "flap" => &super::RINGDESK,
-        _ => &super::PLAN,
+        "idle-clock" => &LARGE,
+        _ => &PLAN,
     };
     let scene = match Scene::open(case, binary, site) {
         Ok(scene) => scene,
@@ -18,10 +28,9 @@
     let outcome = match case {
         "many-ends" => many_ends(&scene),
         "idle-clock" => idle_clock(&scene),
-        "leave" => leave(&scene),
-        "flap" => flap(&scene),
         "long-job" => long_job(&scene),
         "guarantee" => guarantee(&scene),
+        "ends-behind-cuts" => ends_behind_cuts(&scene),
         _ => Err(format!("no case `{case}`")),
     };
     scene.finish(record, outcome)
@@ -42,7 +51,7 @@
             "{{\"spec\":\"6000 0\",\"steps\":[{{\"count\":{TASKS},\"cpu\":25,\"memMb\":16,\"estimateMs\":6000}}]}}"
         ),
     )?;
-    let starts = || scene.world.starts.load(super::Ordering::Relaxed);
+    let starts = || scene.world.starts.load(Ordering::Relaxed);
     scene.wait_for("all starts", Duration::from_secs(5), || starts() >= TASKS)?;
     scene.world.record.add(format!("{TASKS} tasks are at work"));
     let is_near = || {
@@ -63,13 +72,19 @@
             .system
             .start("control", leader, false)
             .map_err(|e| e.to_string())?;
-        scene.world.record.add(format!("control-{leader} starts again"));
+        scene
+            .world
+            .record
+            .add(format!("control-{leader} starts again"));
     }
     let until = Instant::now() + Duration::from_secs(25);
     while Instant::now() < until && scene.show(job) != "completed" {
         thread::sleep(Duration::from_millis(500));
     }
-    scene.world.record.add(format!("job {job} is {}", scene.show(job)));
+    scene
+        .world
+        .record
+        .add(format!("job {job} is {}", scene.show(job)));
     thread::sleep(Duration::from_secs(2));
     scene.world.judge_done();
     Ok(())
@@ -83,17 +98,16 @@
     }
     scene.tick_forever();
     scene.settle()?;
-    scene
-        .world
-        .record
-        .add(format!("{MINIONS} minions are met; they stay idle for 60 s"));
+    scene.world.record.add(format!(
+        "{MINIONS} minions are met; they stay idle for 60 s"
+    ));
     thread::sleep(Duration::from_secs(60));
     let job = "5c0e7a21d94b36f8";
     scene.submit(
         job,
         "{\"spec\":\"16000 0\",\"steps\":[{\"count\":20,\"cpu\":32000,\"memMb\":1024,\"gpu\":4,\"estimateMs\":16000}]}",
     )?;
-    let starts = || scene.world.starts.load(super::Ordering::Relaxed);
+    let starts = || scene.world.starts.load(Ordering::Relaxed);
     scene.wait_for("all starts", Duration::from_secs(5), || starts() >= 20)?;
     thread::sleep(Duration::from_millis(500));
     let minions = scene.minions.lock().unwrap().clone();
@@ -106,10 +120,10 @@
         for minion in &busy {
             minion.state().link = Link::Cut;
         }
-        scene
-            .world
-            .record
-            .add(format!("{} minions with work are cut off and run on", busy.len()));
+        scene.world.record.add(format!(
+            "{} minions with work are cut off and run on",
+            busy.len()
+        ));
         thread::sleep(Duration::from_millis(5500));
         for minion in &busy {
             minion.state().link = Link::Sound;
@@ -122,105 +136,6 @@
     Ok(())
 }
 
-/// A minion leaves while its link is cut in one direction.
-fn leave(scene: &Scene) -> Result<(), String> {
-    for number in 0..16 {
-        scene.add_minion(number, 1.0, 32_000)?;
-    }
-    scene.tick_forever();
-    scene.settle()?;
-    let job = "5c0e7a21d94b36f8";
-    scene.submit(
-        job,
-        "{\"spec\":\"lasting\",\"steps\":[{\"count\":2,\"cpu\":8000,\"memMb\":1024,\"gpu\":2,\"longRunning\":true}]}",
-    )?;
-    let starts = || scene.world.starts.load(super::Ordering::Relaxed);
-    scene.wait_for("all starts", Duration::from_secs(5), || starts() >= 2)?;
-    thread::sleep(Duration::from_millis(500));
-    let minions = scene.minions.lock().unwrap().clone();
-    let leaving = minions
-        .iter()
-        .find(|minion| !minion.state().runs.is_empty())
-        .cloned()
-        .ok_or("no minion has work")?;
-    if !leaving.drain(3000) {
-        return Err("`draining` was not acknowledged".into());
-    }
-    thread::sleep(Duration::from_millis(3500));
-    let connection = leaving.connect().ok_or("no connection to a node")?;
-    thread::sleep(Duration::from_millis(500));
-    if scene.trouble {
-        leaving.state().link = Link::OneWay;
-        scene
-            .world
-            .record
-            .add(format!("nothing reaches {} any more; what it sends arrives", leaving.id));
-    }
-    thread::sleep(Duration::from_millis(500));
-    leaving.leave(connection, Duration::from_secs(3));
-    thread::sleep(Duration::from_secs(3));
-    Ok(())
-}
-
-/// The only minion with room goes down and up by turns.
-fn flap(scene: &Scene) -> Result<(), String> {
-    const MINIONS: usize = 20;
-    for number in 0..MINIONS {
-        scene.add_minion(number, 1.0, 32_000)?;
-    }
-    scene.tick_forever();
-    scene.settle()?;
-    scene.submit(
-        "00000000000000aa",
-        &format!(
-            "{{\"spec\":\"100000 0\",\"steps\":[{{\"count\":{},\"cpu\":32000,\"memMb\":1024,\"gpu\":8,\"estimateMs\":100000}}]}}",
-            MINIONS - 1
-        ),
-    )?;
-    let starts = || scene.world.starts.load(super::Ordering::Relaxed);
-    scene.wait_for("all starts", Duration::from_secs(5), || starts() >= MINIONS - 1)?;
-    let job = "5c0e7a21d94b36f8";
-    scene.submit(
-        job,
-        "{\"spec\":\"100000 0\",\"steps\":[{\"count\":1,\"cpu\":32000,\"memMb\":1024,\"gpu\":8,\"estimateMs\":100000}]}",
-    )?;
-    scene.wait_for("the start", Duration::from_secs(5), || starts() >= MINIONS)?;
-    let minions = scene.minions.lock().unwrap().clone();
-    let is_of_job = |key: &super::Key| key.0.starts_with(job);
-    let minion = minions
-        .iter()
-        .find(|minion| minion.state().runs.keys().any(is_of_job))
-        .cloned()
-        .ok_or("the job has no run")?;
-    thread::sleep(Duration::from_millis(500));
-    if scene.trouble {
-        let until = Instant::now() + Duration::from_millis(5200);
-        while Instant::now() < until {
-            minion.crash();
-            thread::sleep(Duration::from_millis(550));
-            minion.rise();
-            thread::sleep(Duration::from_millis(550));
-        }
-    } else {
-        thread::sleep(Duration::from_millis(5500));
-    }
-    thread::sleep(Duration::from_secs(5));
-    let state = scene.show(job);
-    scene.world.record.add(format!("GET of job {job}: {state}"));
-    let has_failed = scene
-        .world
-        .book()
-        .runs
-        .iter()
-        .any(|run| matches!(run.ended, Some((_, "failed"))));
-    if state == "failed" && !has_failed {
-        let line = format!("LOST: job {job} is shown as `failed`; no run of it has ended `failed`");
-        scene.world.record.add(&line);
-        scene.world.book().broken.push(line);
-    }
-    Ok(())
-}
-
 /// A task takes far longer than its estimate says.
 fn long_job(scene: &Scene) -> Result<(), String> {
     const MINIONS: usize = 16;
@@ -236,10 +151,16 @@
         "{{\"spec\":\"600000 0\",\"steps\":[{{\"count\":1,\"cpu\":8000,\"memMb\":1024,\"gpu\":4,\"estimateMs\":{estimate},\"constraints\":\"b\"}}]}}"
     );
     scene.submit(job, &body)?;
-    scene.world.record.add("the task takes 600 s; no more requests follow");
+    scene
+        .world
+        .record
+        .add("the task takes 600 s; no more requests follow");
     // `finish_s`
     thread::sleep(Duration::from_secs(14));
-    scene.world.record.add(format!("GET of job {job}: {}", scene.show(job)));
+    scene
+        .world
+        .record
+        .add(format!("GET of job {job}: {}", scene.show(job)));
     let is_running = || {
         let book = scene.world.book();
         book.runs.iter().any(|run| run.ended.is_none())
@@ -252,14 +173,19 @@
         } else {
             let since = *idle_since.get_or_insert_with(Instant::now);
             if since.elapsed() >= Duration::from_secs(3) && scene.world.book().broken.is_empty() {
-                let line = format!("LOST: nothing of job {job} has run for 3 s; {MINIONS} minions are idle, 2 of them with the label");
+                let line = format!(
+                    "LOST: nothing of job {job} has run for 3 s; {MINIONS} minions are idle, 2 of them with the label"
+                );
                 scene.world.record.add(&line);
                 scene.world.book().broken.push(line);
             }
         }
         thread::sleep(Duration::from_millis(20));
     }
-    scene.world.record.add(format!("GET of job {job}: {}", scene.show(job)));
+    scene
+        .world
+        .record
+        .add(format!("GET of job {job}: {}", scene.show(job)));
     Ok(())
 }
 
@@ -283,13 +209,13 @@
             "{{\"spec\":\"{spec}\",\"steps\":[{{\"count\":{MINIONS},\"cpu\":8000,\"memMb\":1024,\"gpu\":8,{kind}}}]}}"
         ),
     )?;
-    let starts = || scene.world.starts.load(super::Ordering::Relaxed);
+    let starts = || scene.world.starts.load(Ordering::Relaxed);
     scene.wait_for("all starts", Duration::from_secs(5), || starts() >= MINIONS)?;
     thread::sleep(Duration::from_secs(3));
     let job = "5c0e7a21d94b36f8";
     scene.submit_to(
-        super::URGENT,
-        super::GUARANTEED_KEY,
+        URGENT,
+        GUARANTEED_KEY,
         job,
         &format!(
             "{{\"spec\":\"4000 0\",\"steps\":[{{\"count\":{TASKS},\"cpu\":3700,\"memMb\":9800,\"gpu\":8,\"estimateMs\":4000,\"gang\":true}}]}}"
@@ -319,7 +245,74 @@
         "{} of {TASKS} tasks have begun {} ms after the acknowledgement; GET: {}",
         begun(),
         accepted.elapsed().as_millis(),
-        scene.show_in(super::URGENT, super::GUARANTEED_KEY, job)
+        scene.show_in(URGENT, GUARANTEED_KEY, job)
     ));
     Ok(())
 }
+
+/// Minions are cut off, and crash behind the cut after the run there has ended.
+fn ends_behind_cuts(scene: &Scene) -> Result<(), String> {
+    const MINIONS: usize = 16;
+    const CUTS: usize = 5;
+    for number in 0..MINIONS {
+        scene.add_minion(number, 1.0, 32_000)?;
+    }
+    scene.tick_forever();
+    scene.settle()?;
+    let job = "5c0e7a21d94b36f8";
+    scene.submit(
+        job,
+        "{\"spec\":\"1500 0\",\"steps\":[{\"count\":1,\"cpu\":3700,\"memMb\":9800,\"gpu\":1,\"estimateMs\":1500}]}",
+    )?;
+    let starts = || scene.world.starts.load(Ordering::Relaxed);
+    let minions = scene.minions.lock().unwrap().clone();
+    let mut has_crashed_under_it = false;
+    for cut in 1..=CUTS {
+        if !scene.trouble {
+            break;
+        }
+        let is_started = scene.wait_for("the start", Duration::from_secs(8), || starts() >= cut);
+        if is_started.is_err() {
+            scene.world.record.add("no further run has begun");
+            break;
+        }
+        let minion = minions
+            .iter()
+            .find(|minion| !minion.state().runs.is_empty())
+            .cloned()
+            .ok_or("the job has no run")?;
+        thread::sleep(Duration::from_millis(300));
+        minion.state().link = Link::Cut;
+        scene.world.record.add(format!("{} is cut off", minion.id));
+        thread::sleep(Duration::from_millis(2000));
+        has_crashed_under_it |= !minion.state().runs.is_empty();
+        minion.crash();
+        thread::sleep(Duration::from_millis(100));
+        minion.state().link = Link::Sound;
+        minion.rise();
+        scene
+            .world
+            .record
+            .add(format!("the cut of {} is over", minion.id));
+    }
+    thread::sleep(Duration::from_secs(8));
+    let state = scene.show(job);
+    scene.world.record.add(format!("GET of job {job}: {state}"));
+    let has_failed = {
+        let book = scene.world.book();
+        book.runs
+            .iter()
+            .any(|run| matches!(run.ended, Some((_, "failed"))))
+    };
+    if has_crashed_under_it {
+        return Err("a minion crashed while the task was at work there".into());
+    }
+    if state == "failed" && !has_failed {
+        let line = format!(
+            "LOST: job {job} is shown as `failed`; no run of it has ended `failed`, and no minion has crashed under it"
+        );
+        scene.world.record.add(&line);
+        scene.world.book().broken.push(line);
+    }
+    Ok(())
+}
