plan: count leases from the least time that an upstream's clock can show

Cause: the leader counts the end of a lease on the upstream's clock from the latest reading plus the time since by its own clock. A clock that is 2 % slow shows less, so the lease outlasts what the leader counts with by 2 % of the reading's age. Followers that acknowledge heartbeats report them without the clock, and idle upstreams are not held, so readings get old.

Change: the lease is counted from the reading plus 98 % of the time since. An idle upstream is held once when that shortens its lease by a quarter. A reading behind what is known is ignored.

Ruled out: the drift of the lease itself, which was counted; leases of gangs, which workers count from the clock reading that the order repeats.

--- a/crates/plan/src/engine/hold.rs
+++ b/crates/plan/src/engine/hold.rs
@@ -50,7 +50,9 @@
         let has_runs = registry.allocations_on(id).next().is_some();
         let has_ends = registry.last_end(id) > session.released_end;
         if !has_runs && session.strays.is_empty() {
-            return has_ends.then_some(Duration::ZERO);
+            let is_reachable = session.failures == 0;
+            let reads_clock = is_reachable && session.is_clock_stale(self.now, &self.settings);
+            return (has_ends || reads_clock).then_some(Duration::ZERO);
         }
         let has_pending_outcome = !session.strays.is_empty()
             || registry.allocations_on(id).any(|(key, _)| {
--- a/crates/plan/src/engine/session.rs
+++ b/crates/plan/src/engine/session.rs
@@ -16,6 +16,10 @@
 /// Percentage by which the clock of an upstream may run slow, as stated by the platform.
 const CLOCK_DRIFT_PERCENT: u32 = 2;
 
+/// Largest part of a lease, as a divisor, by which it may fall short because the upstream's clock was read long ago. The
+/// rest leaves time for the next hold, which renews the lease.
+const MAX_SHORTFALL_DIVISOR: u32 = 4;
+
 /// Longest lease that is given, even to upstreams that accept a longer one. The tasks of an upstream that is lost start
 /// elsewhere only after its lease, so a long one makes them late; a replaced leader renews leases after about 3 s.
 const LEASE_LIMIT: Duration = Duration::from_secs(6);
@@ -40,7 +44,7 @@
     pub draining: bool,
     /// Time of the last message from the upstream.
     pub last_heard: Instant,
-    /// Clock of the upstream in milliseconds, and the time when it was received.
+    /// Latest known clock of the upstream in milliseconds, and the time when it was received.
     clock: Option<(u64, Instant)>,
     /// Time until which it is slow after its start, by its own account.
     pub cold_until: Option<Instant>,
@@ -94,9 +98,30 @@
         settings.max_lease.min(LEASE_LIMIT)
     }
 
-    /// Records the clock of the upstream.
+    /// Records the clock of the upstream, unless it is older than what is known: answers can overtake each other.
     pub fn set_clock(&mut self, clock_ms: u64, now: Instant) {
-        self.clock = Some((clock_ms, now));
+        if self
+            .least_clock_ms(now)
+            .is_none_or(|known_ms| clock_ms >= known_ms)
+        {
+            self.clock = Some((clock_ms, now));
+        }
+    }
+
+    /// The least time that the upstream's clock can show now, in milliseconds.
+    fn least_clock_ms(&self, now: Instant) -> Option<u64> {
+        let (clock_ms, at) = self.clock?;
+        let elapsed = now.saturating_duration_since(at);
+        let least = elapsed - elapsed * CLOCK_DRIFT_PERCENT / 100;
+        Some(clock_ms.saturating_add(least.as_millis() as u64))
+    }
+
+    /// Whether the upstream's clock was read so long ago that a lease from it may be too short.
+    pub fn is_clock_stale(&self, now: Instant, settings: &Settings) -> bool {
+        let max_shortfall = Session::lease(settings) / MAX_SHORTFALL_DIVISOR;
+        self.clock.is_some_and(|(_, at)| {
+            now.saturating_duration_since(at) * CLOCK_DRIFT_PERCENT / 100 > max_shortfall
+        })
     }
 
     /// Time of the first of the consecutive failed holds; none if the latest hold did not fail.
@@ -110,13 +135,13 @@
         at.checked_sub(Duration::from_millis(clock_ms))
     }
 
-    /// Gives a full lease and returns its end by the upstream's clock in milliseconds; none if that clock is unknown.
+    /// Gives a lease and returns its end by the upstream's clock in milliseconds; none if that clock is unknown. The lease
+    /// is counted from the least time that the clock can show, so that it is never longer than the leader assumes.
     pub fn grant_lease(&mut self, now: Instant, settings: &Settings) -> Option<u64> {
-        let (clock_ms, at) = self.clock?;
-        let elapsed = now.saturating_duration_since(at);
+        let least_clock_ms = self.least_clock_ms(now)?;
         let lease = Session::lease(settings);
         self.lease_end = self.lease_end.max(now + expired_after(lease));
-        Some(clock_ms.saturating_add((elapsed + lease).as_millis() as u64))
+        Some(least_clock_ms.saturating_add(lease.as_millis() as u64))
     }
 
     /// The end that the next hold releases, given the last recorded one; 0 if there is nothing new to release.
--- a/crates/plan/tests/leader/mod.rs
+++ b/crates/plan/tests/leader/mod.rs
@@ -29,7 +29,8 @@
     })
 }
 
-fn submit(registry: &mut Registry, job: id::Job, queue: &str) {
+/// Submits a job of one task that fills an upstream.
+pub fn submit(registry: &mut Registry, job: id::Job, queue: &str) {
     let step = job::Step {
         count: 1,
         need: Resources {
@@ -54,6 +55,22 @@
 
 /// A registry in which a sweep job fills upstream `a`, `b` is empty, and an urgent job waits.
 pub fn registry() -> Registry {
+    let mut registry = idle_registry();
+    submit(&mut registry, SWEEP, "sweep");
+    registry.apply(Command::Progress {
+        at_ms: 0,
+        steps: vec![Update::Assign(vec![Placement {
+            task: sweep_task(),
+            upstream: "a".into(),
+            born_ms: 1,
+        }])],
+    });
+    submit(&mut registry, URGENT, "urgent");
+    registry
+}
+
+/// A registry with the empty upstreams `a` and `b`.
+pub fn idle_registry() -> Registry {
     let queue = |name: &str, priority| Queue {
         name: name.into(),
         prefix: format!("/{name}/"),
@@ -83,16 +100,6 @@
             upstream: upstream(name),
         });
     }
-    submit(&mut registry, SWEEP, "sweep");
-    registry.apply(Command::Progress {
-        at_ms: 0,
-        steps: vec![Update::Assign(vec![Placement {
-            task: sweep_task(),
-            upstream: "a".into(),
-            born_ms: 1,
-        }])],
-    });
-    submit(&mut registry, URGENT, "urgent");
     registry
 }
 
