plan: take no run for lost while an upstream has more ends to list

Cause: an upstream lists 500 ends at a time. A run that is neither listed as running nor as ended counted as lost, also if its end was among those that the list had left out.

Change: a full list is marked as one that may go on. Until the rest is listed, nothing counts as lost and the upstream is held.

Ruled out: lapsed leases and ends released before they are stored.

--- a/crates/dispatch/src/control/answer.rs
+++ b/crates/dispatch/src/control/answer.rs
@@ -1,5 +1,5 @@
 use {
-    super::Control,
+    super::{Control, FinalEnds},
     gate::call::{Action, Caller, JobState, Reply, Request},
     plan::engine::Event,
     quorum::Member,
@@ -16,10 +16,6 @@
     },
 };
 
-/// Delay before an upstream is deregistered, so that the ends of runs that it has just listed are committed first. It
-/// must be shorter than the second for which the upstream waits for the acknowledgement.
-const FINAL_ENDS_DELAY: Duration = Duration::from_millis(300);
-
 /// What a call addresses.
 struct CallTarget {
     /// Endpoint of the queue.
@@ -296,9 +292,13 @@
         if born_ms.is_some_and(|born_ms| born_ms != registered_born_ms) {
             return Ok(Reply::Done);
         }
-        // Ends of runs that the upstream has just listed are still being committed. They must reach the log before its
-        // removal, or their tasks would run again.
-        time::sleep(FINAL_ENDS_DELAY).await;
+        let mut final_ends = FinalEnds::default();
+        while let Some(wait) = self.read_registry(|registry| {
+            let has_runs = registry.allocations_on(&upstream).next().is_some();
+            final_ends.next_wait(registry.last_end(&upstream), has_runs)
+        })? {
+            time::sleep(wait).await;
+        }
         log::info!("event=upstream_left upstream={upstream} born_ms={registered_born_ms}");
         let command = Command::Leave {
             upstream,
--- a/crates/dispatch/src/control/mod.rs
+++ b/crates/dispatch/src/control/mod.rs
@@ -4,10 +4,11 @@
 mod control;
 mod error;
 mod evacuation;
+mod final_ends;
 mod handler;
 mod membership;
 mod replica;
 mod setup;
 mod speeds;
 
-pub use {control::Control, error::Error, replica::Replica, setup::Setup};
+pub use {control::Control, error::Error, final_ends::FinalEnds, replica::Replica, setup::Setup};
--- a/crates/plan/src/engine/event.rs
+++ b/crates/plan/src/engine/event.rs
@@ -79,6 +79,8 @@
     pub running: Vec<Running>,
     /// Ends that the leader has not released yet, in ascending order of their numbers.
     pub ended: Vec<End>,
+    /// Whether there may be further ends, which the upstream lists once these are released.
+    pub has_more_ends: bool,
 }
 
 /// A run in progress, as reported by its upstream.
--- a/crates/plan/src/engine/hold.rs
+++ b/crates/plan/src/engine/hold.rs
@@ -8,7 +8,7 @@
     crate::learn,
     std::time::{Duration, Instant},
     work::{
-        collections::IndexMap,
+        collections::{IndexMap, IndexSet},
         id,
         registry::{Registry, Update, Void},
         upstream::{End, Outcome},
@@ -52,9 +52,13 @@
         if !has_runs && session.strays.is_empty() {
             let is_reachable = session.failures == 0;
             let reads_clock = is_reachable && session.is_clock_stale(self.now, &self.settings);
-            return (has_ends || reads_clock).then_some(Duration::ZERO);
+            return match has_ends || reads_clock {
+                true => Some(Duration::ZERO),
+                false => session.has_more_ends.then_some(SHORT_WAIT),
+            };
         }
         let has_pending_outcome = !session.strays.is_empty()
+            || session.has_more_ends
             || registry.allocations_on(id).any(|(key, _)| {
                 self.tracked_runs.get(key).is_some_and(|tracked| {
                     matches!(tracked.phase, Phase::Unanswered { .. } | Phase::Inherited)
@@ -177,6 +181,7 @@
         let first = !std::mem::replace(&mut session.contacted, true);
         session.next_hold = now;
         session.released_end = session.released_end.max(pending.last_end);
+        session.has_more_ends = listing.has_more_ends;
         if let Some(clock_ms) = listing.clock_ms {
             session.set_clock(clock_ms, now);
         }
@@ -224,13 +229,7 @@
             self.speeds.observe(upstream, &mut samples, now);
         }
         self.propose_ends(registry, id, &listing.ended);
-        self.void_absent_runs(
-            registry,
-            id,
-            pending.sent,
-            &running.keys().copied().collect::<Vec<_>>(),
-            &listing.ended,
-        );
+        self.void_absent_runs(registry, id, pending.sent, &listing);
         let session = self.sessions.get(id);
         // What else the answer tells reaches the plan with the commits that follow from it.
         if session.is_some_and(|session| session.is_usable(now, &self.settings)) != was_usable {
@@ -357,22 +356,28 @@
         registry: &Registry,
         id: &id::Upstream,
         sent: Instant,
-        running: &[RunKey],
-        ended: &[End],
+        listing: &Listing,
     ) {
         let Some(born_ms) = self.sessions.get(id).map(|session| session.born_ms) else {
             return;
         };
-        let listed = |key: &RunKey| {
-            running.contains(key) || ended.iter().any(|end| (end.task, end.run) == *key)
-        };
+        let running: IndexSet<RunKey> = listing
+            .running
+            .iter()
+            .map(|running| (running.task, running.run))
+            .collect();
+        let ended: IndexSet<RunKey> = listing
+            .ended
+            .iter()
+            .map(|end| (end.task, end.run))
+            .collect();
         let live: Vec<RunKey> = registry.allocations_on(id).map(|(key, _)| *key).collect();
         for key in live {
             let Some(tracked) = self.tracked_runs.get(&key) else {
                 continue;
             };
             let is_restarted = tracked.born_ms != born_ms;
-            if listed(&key) {
+            if running.contains(&key) || ended.contains(&key) {
                 if is_restarted && running.contains(&key) {
                     self.updates.push(Update::Running {
                         task: key.0,
@@ -382,6 +387,10 @@
                 }
                 continue;
             }
+            // The run may be among the ends that are not listed yet.
+            if listing.has_more_ends {
+                continue;
+            }
             // A confirmed stop also blocks a start that arrives later. A restarted upstream does not know the runs of
             // its earlier incarnation, so only a stop protects it from a start that was sent to that one.
             let is_blocked = tracked
--- a/crates/plan/src/engine/session.rs
+++ b/crates/plan/src/engine/session.rs
@@ -66,6 +66,8 @@
     pub released_end: u64,
     /// Number of the last end in a pending or committed proposal; 0 for none.
     pub proposed_end: u64,
+    /// Whether it may have ends that it has not listed yet.
+    pub has_more_ends: bool,
     /// Runs that it reports and the registry does not have.
     pub strays: IndexSet<(id::Task, u32)>,
 }
@@ -89,6 +91,7 @@
             lost_at: now,
             released_end: 0,
             proposed_end: 0,
+            has_more_ends: false,
             strays: IndexSet::default(),
         }
     }
--- a/crates/plan/tests/listing/mod.rs
+++ b/crates/plan/tests/listing/mod.rs
@@ -22,6 +22,7 @@
         clock_ms: Some(clock_ms),
         running,
         ended,
+        has_more_ends: false,
     };
     Event::HoldAnswered {
         call: call.expect("a hold"),
--- a/crates/plan/tests/loss/cluster.rs
+++ b/crates/plan/tests/loss/cluster.rs
@@ -1,7 +1,7 @@
 //! A leader and upstreams on a virtual clock. Tasks of the job [`DEADLY`] crash each upstream that starts them.
 
 use {
-    indexmap::IndexMap,
+    indexmap::{IndexMap, IndexSet},
     plan::engine::{Effect, Engine, Event, Failure, Listing, Refusal, Running, Settings, Target},
     std::time::{Duration, Instant},
     work::{
@@ -32,7 +32,10 @@
 const MAX_STEPS_TO_START: u64 = 15_000 / STEP_MS;
 
 /// Work of a task that does not crash its upstream.
-const WORK_MS: u64 = 2500;
+pub const WORK_MS: u64 = 2500;
+
+/// Number of ends that an upstream lists at a time.
+pub const MAX_LISTED_ENDS: usize = 500;
 
 /// Wall-clock time at the start of the test, in milliseconds since the Unix epoch.
 const EPOCH_MS: u64 = 1_000_000;
@@ -68,6 +71,10 @@
     pub crashes: IndexMap<id::Task, u32>,
     /// Starts that brought an upstream over its capacity.
     pub overfull: Vec<id::Task>,
+    /// Tasks that were done.
+    done: IndexSet<id::Task>,
+    /// Starts of tasks that were done.
+    pub started_again: Vec<id::Task>,
     /// Number of starts of each task since the third crash under it.
     pub starts_after_third_crash: IndexMap<id::Task, u32>,
     pub restart_after_ms: u64,
@@ -97,6 +104,8 @@
             now_ms: 0,
             crashes: IndexMap::new(),
             overfull: Vec::new(),
+            done: IndexSet::new(),
+            started_again: Vec::new(),
             starts_after_third_crash: IndexMap::new(),
             restart_after_ms: RESTART_AFTER_MS,
             cut_timeout_ms: 0,
@@ -151,6 +160,17 @@
         assert_eq!(answer, Answer::Accepted);
     }
 
+    /// Cancels a job.
+    pub fn cancel(&mut self, job: id::Job) {
+        let at_ms = EPOCH_MS + self.now_ms;
+        self.registry.apply(Command::Cancel { at_ms, job });
+    }
+
+    /// Number of ends that the upstreams still have to list.
+    pub fn unreleased_ends(&self) -> usize {
+        self.nodes.iter().map(|node| node.ended.len()).sum()
+    }
+
     /// Replaces the leader; the next one knows only the registry.
     pub fn replace_leader(&mut self) {
         self.events.clear();
@@ -293,6 +313,9 @@
                     FAILING => Outcome::Failed,
                     _ => Outcome::Done,
                 };
+                if how == Outcome::Done {
+                    self.done.insert(task);
+                }
                 node.end(task, run, how);
             }
             if node.is_up && !node.is_cut && now_ms.is_multiple_of(1000) {
@@ -367,6 +390,9 @@
                     }
                     Some(now_ms)
                 });
+                if begins && self.done.contains(&order.task) {
+                    self.started_again.push(order.task);
+                }
                 if begins
                     && self
                         .crashes
@@ -451,7 +477,8 @@
             born_ms: Some(self.born_ms),
             clock_ms: Some(now_ms),
             running: running.collect(),
-            ended: self.ended.clone(),
+            ended: self.ended.iter().take(MAX_LISTED_ENDS).cloned().collect(),
+            has_more_ends: self.ended.len() > MAX_LISTED_ENDS,
         }
     }
 }
--- a/crates/plan/tests/loss/main.rs
+++ b/crates/plan/tests/loss/main.rs
@@ -1,10 +1,11 @@
-//! Upstreams that crash, that cannot be reached, on which tasks fail, or whose capacity changes, and gangs that have lost
-//! a member.
+//! Upstreams that crash, that cannot be reached, on which tasks fail, whose capacity changes or that have many ends to
+//! list, and gangs that have lost a member.
 
 mod capacity;
 mod cluster;
 mod crash;
 mod cut;
+mod ends;
 mod failure;
 mod gang;
 mod waiting;
--- a/crates/sim/src/upstream.rs
+++ b/crates/sim/src/upstream.rs
@@ -8,6 +8,9 @@
     },
 };
 
+/// Number of ends that an upstream lists at a time.
+const MAX_LISTED_ENDS: usize = 500;
+
 /// How an upstream treats what it runs.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Nature {
@@ -219,7 +222,8 @@
             born_ms: Some(self.born_ms),
             clock_ms: Some(self.clock_ms(now_ms)),
             running: running.collect(),
-            ended: self.ends.clone(),
+            ended: self.ends.iter().take(MAX_LISTED_ENDS).cloned().collect(),
+            has_more_ends: self.ends.len() > MAX_LISTED_ENDS,
         }
     }
 
