plan: give each incarnation of an upstream a higher fencing token

Cause: calls to the earlier incarnation that are carried out late reach the next one, which has the same id. Their leases end on a clock that has begun again near 0, so the next incarnation gets the longest lease, from then on, and the leader counts from its last own call. Late holds can also release ends unseen, and a new leader knows nothing of its predecessor's calls.

Change: each further incarnation in a term gets a higher token (the term plus an offset), so that it refuses late calls from its first answered hold on. Terms are multiples of 2^32. Until that answer the leader allows for late calls for 15 s after the start of the incarnation; afterwards callers wait no longer than before. Counting with late calls all the time was weighed: tasks would wait up to 21 s, and ends could still be released unseen.

Stored records are the same.

--- a/crates/dispatch/src/control/replica.rs
+++ b/crates/dispatch/src/control/replica.rs
@@ -2,6 +2,7 @@
     crate::state::ControlState,
     model::clock::Clock,
     peers::Peers,
+    plan::engine::MAX_TOKEN_OFFSET,
     quorum::{Change, Member, Members, Settings},
     replica::{Group, View},
     std::{
@@ -129,6 +130,7 @@
                 election_timeout_min: ELECTION_MIN,
                 election_timeout_max: ELECTION_MAX,
                 lease_percent: LEASE_PERCENT,
+                term_interval: MAX_TOKEN_OFFSET + 1,
                 ..Settings::default()
             },
             clock: shared.clock.clone(),
--- a/crates/dispatch/src/leader/driver.rs
+++ b/crates/dispatch/src/leader/driver.rs
@@ -200,7 +200,8 @@
                 target,
                 order,
             } => {
-                let answer = self.upstream_client.hold(target, term, order);
+                let token = term + target.token_offset;
+                let answer = self.upstream_client.hold(target, token, order);
                 tokio::spawn(async move {
                     let answer = answer.await;
                     queue.push(Event::HoldAnswered { call, answer });
@@ -211,7 +212,8 @@
                 target,
                 order,
             } => {
-                let answer = self.upstream_client.start(target, term, order);
+                let token = term + target.token_offset;
+                let answer = self.upstream_client.start(target, token, order);
                 tokio::spawn(async move {
                     let answer = answer.await;
                     queue.push(Event::StartAnswered { call, answer });
@@ -222,7 +224,8 @@
                 target,
                 order,
             } => {
-                let answer = self.upstream_client.stop(target, term, order);
+                let token = term + target.token_offset;
+                let answer = self.upstream_client.stop(target, token, order);
                 tokio::spawn(async move {
                     let answer = answer.await;
                     queue.push(Event::StopAnswered { call, answer });
--- a/crates/dispatch/src/leader/upstream_client.rs
+++ b/crates/dispatch/src/leader/upstream_client.rs
@@ -6,7 +6,7 @@
 
 /// Client for commands to upstreams and for queries to the policy service.
 ///
-/// Each call must end within a bounded time. `token` is the fencing token of the leader.
+/// Each call must end within a bounded time. `token` is the fencing token of the order.
 pub trait UpstreamClient: Send + Sync {
     /// Extends the lease of all runs on an upstream and lists them.
     fn hold(
--- a/crates/plan/src/engine/effect.rs
+++ b/crates/plan/src/engine/effect.rs
@@ -3,6 +3,9 @@
     work::{id, job::Definition, registry},
 };
 
+/// Greatest [`Target::token_offset`]. The fencing tokens of two leaders differ by more than this.
+pub const MAX_TOKEN_OFFSET: u64 = (1 << 32) - 1;
+
 /// Output of [`Engine::step`](super::Engine::step).
 #[derive(Clone, Debug)]
 pub enum Effect {
@@ -61,6 +64,9 @@
     pub upstream: id::Upstream,
     /// Network address that takes orders.
     pub address: String,
+    /// Amount by which the fencing token of the order is above the leader's, at most [`MAX_TOKEN_OFFSET`]. Each
+    /// incarnation of an upstream gets a higher one, so that it refuses the orders to its earlier ones.
+    pub token_offset: u64,
 }
 
 /// Order to renew the lease of all runs on an upstream, and to report its runs and ends.
--- a/crates/plan/src/engine/engine.rs
+++ b/crates/plan/src/engine/engine.rs
@@ -1,10 +1,10 @@
 use {
     super::{
-        Effect, Effort, Event, Failure, Refusal, Settings, Target, addresses::Addresses,
-        advice::Advice, avoidance::Avoidance, drain::Departures, evacuation, first_runs::FirstRuns,
-        fleet_report::FleetWatch, load_report::LoadWatch, reservations::Reservation,
-        session::Session, tracked_run::TrackedRun, unexplained_losses::UnexplainedLosses,
-        usage::Usage,
+        Effect, Effort, Event, Failure, MAX_TOKEN_OFFSET, Refusal, Settings, Target,
+        addresses::Addresses, advice::Advice, avoidance::Avoidance, drain::Departures, evacuation,
+        first_runs::FirstRuns, fleet_report::FleetWatch, load_report::LoadWatch,
+        reservations::Reservation, session::Session, tracked_run::TrackedRun,
+        unexplained_losses::UnexplainedLosses, usage::Usage,
     },
     crate::{
         headroom::Headroom,
@@ -42,8 +42,11 @@
 /// Silence after which an upstream without runs is removed.
 const FORGET_SILENT_AFTER: Duration = Duration::from_secs(60);
 
-/// Time for which an unanswered start may still be carried out. The limit that the platform documents is 12 s.
-pub(super) const LATE_START_LIMIT: Duration = Duration::from_secs(15);
+/// Time for which an unanswered call may still be carried out. The limit that the platform documents is 12 s.
+pub(super) const LATE_CALL_LIMIT: Duration = Duration::from_secs(15);
+
+/// Unit in which a token offset counts the time since the start of the term: less than an upstream needs to restart.
+const TOKEN_OFFSET_UNIT: Duration = Duration::from_millis(100);
 
 /// An unanswered start whose run was given up, but which the upstream may still carry out.
 #[derive(Clone, Debug)]
@@ -60,6 +63,8 @@
 pub struct Engine {
     pub(super) settings: Settings,
     pub(super) sessions: IndexMap<id::Upstream, Session>,
+    /// Upstreams that were removed, and when, while calls to them may still be carried out.
+    pub(super) removed: IndexMap<id::Upstream, Instant>,
     pub(super) addresses: Addresses,
     pub(super) tracked_runs: IndexMap<RunKey, TrackedRun>,
     /// Upstreams of the holds that have no answer yet, by call.
@@ -127,6 +132,7 @@
         Engine {
             settings,
             sessions: IndexMap::default(),
+            removed: IndexMap::default(),
             addresses: Addresses::default(),
             tracked_runs: IndexMap::default(),
             hold_calls: IndexMap::default(),
@@ -285,12 +291,21 @@
 
     pub(super) fn target(&self, registry: &Registry, upstream: &id::Upstream) -> Option<Target> {
         let known = registry.upstream(upstream)?;
+        let session = self.sessions.get(upstream);
         Some(Target {
             upstream: upstream.clone(),
             address: known.address.clone(),
+            token_offset: session.map_or(0, |session| session.token_offset),
         })
     }
 
+    /// A token offset above all that were used for an upstream so far.
+    pub(super) fn next_token_offset(&self) -> u64 {
+        let elapsed = self.now.saturating_duration_since(self.term_start);
+        let units = elapsed.as_millis() / TOKEN_OFFSET_UNIT.as_millis();
+        MAX_TOKEN_OFFSET.min(units as u64 + 1)
+    }
+
     /// Proposes that a run is over although no end was reported.
     pub(super) fn void(&mut self, registry: &Registry, key: RunKey, reason: Void) {
         if self
@@ -361,6 +376,8 @@
         self.unexplained_losses.discard_ended(is_open);
         self.speeds.prune(is_open);
         self.prune_first_runs(registry);
+        let now = self.now;
+        self.removed.retain(|_, at| now < *at + LATE_CALL_LIMIT);
         for (id, session) in &self.sessions {
             let quiet = self.now.saturating_duration_since(session.last_heard);
             if quiet > FORGET_SILENT_AFTER && registry.allocations_on(id).next().is_none() {
--- a/crates/plan/src/engine/hold.rs
+++ b/crates/plan/src/engine/hold.rs
@@ -141,7 +141,12 @@
                     );
                 }
                 if failure == Failure::Refused(Refusal::Fenced) {
-                    log::warn!("event=fenced upstream={id}");
+                    // An incarnation that was forgotten may have had a higher token of this term.
+                    let offset = self.next_token_offset();
+                    if let Some(session) = self.sessions.get_mut(&id) {
+                        session.token_offset = session.token_offset.max(offset);
+                    }
+                    log::warn!("event=fenced upstream={id} next_offset={offset}");
                 }
             }
         }
@@ -178,7 +183,8 @@
         }
         session.record_answer(now);
         self.unexplained_losses.discard(id);
-        let first = !std::mem::replace(&mut session.contacted, true);
+        let first = !session.contacted;
+        session.record_contact(now, &self.settings);
         session.next_hold = now;
         session.released_end = session.released_end.max(pending.last_end);
         session.has_more_ends = listing.has_more_ends;
--- a/crates/plan/src/engine/mod.rs
+++ b/crates/plan/src/engine/mod.rs
@@ -34,7 +34,7 @@
 
 pub use {
     drain::Drain,
-    effect::{Effect, Hold, Start, Stop, Target},
+    effect::{Effect, Hold, MAX_TOKEN_OFFSET, Start, Stop, Target},
     effort::Effort,
     engine::Engine,
     evacuation::{Evacuation, Leftover},
--- a/crates/plan/src/engine/runs.rs
+++ b/crates/plan/src/engine/runs.rs
@@ -326,7 +326,7 @@
             return;
         };
         let unreachable = session.failures > 0 || !session.contacted;
-        if unreachable && self.now > session.lease_end {
+        if unreachable && self.now > session.lease_end() {
             self.void(registry, key, Void::Lapsed);
         }
     }
--- a/crates/plan/src/engine/session.rs
+++ b/crates/plan/src/engine/session.rs
@@ -1,5 +1,5 @@
 use {
-    super::Settings,
+    super::{Settings, engine::LATE_CALL_LIMIT},
     std::time::{Duration, Instant},
     work::{collections::IndexSet, id},
 };
@@ -54,8 +54,12 @@
     pub next_hold: Instant,
     /// Whether anything has happened since it was last found to need no hold.
     pub may_need_hold: bool,
-    /// Time after which every lease given by this or an earlier leader has expired.
-    pub lease_end: Instant,
+    /// Amount by which its fencing token is above the leader's.
+    pub token_offset: u64,
+    /// Time after which every lease given by this leader to this incarnation has expired.
+    granted_until: Instant,
+    /// Time after which every lease has expired that calls of earlier leaders or to earlier incarnations can give.
+    foreign_until: Instant,
     /// Number of consecutive failed holds.
     pub failures: u32,
     /// Time of the latest failed hold.
@@ -73,8 +77,13 @@
 }
 
 impl Session {
-    /// A session with an incarnation that has not answered yet. Earlier leaders may have given leases until `now`.
-    pub fn new(born_ms: u64, now: Instant, settings: &Settings) -> Session {
+    /// A session with an incarnation that began `age` ago and has not answered yet. Earlier leaders may have given leases
+    /// until `now`.
+    ///
+    /// Calls to an earlier incarnation may be carried out until [`LATE_CALL_LIMIT`] after it ended. Their leases end by its
+    /// clock, so the next incarnation, whose clock has begun anew, shortens them only to the longest one that it accepts.
+    pub fn new(born_ms: u64, age: Duration, now: Instant, settings: &Settings) -> Session {
+        let late_calls = LATE_CALL_LIMIT.saturating_sub(age);
         Session {
             born_ms,
             draining: false,
@@ -85,7 +94,9 @@
             pending_hold: None,
             next_hold: now,
             may_need_hold: true,
-            lease_end: now + expired_after(settings.max_lease),
+            token_offset: 0,
+            granted_until: now,
+            foreign_until: now + late_calls + expired_after(settings.max_lease),
             failures: 0,
             failed_at: now,
             lost_at: now,
@@ -143,10 +154,25 @@
     pub fn grant_lease(&mut self, now: Instant, settings: &Settings) -> Option<u64> {
         let least_clock_ms = self.least_clock_ms(now)?;
         let lease = Session::lease(settings);
-        self.lease_end = self.lease_end.max(now + expired_after(lease));
+        self.granted_until = self.granted_until.max(now + expired_after(lease));
         Some(least_clock_ms.saturating_add(lease.as_millis() as u64))
     }
 
+    /// Time after which every lease has expired.
+    pub fn lease_end(&self) -> Instant {
+        self.granted_until.max(self.foreign_until)
+    }
+
+    /// Records that it has answered a hold of this leader. From then on it refuses calls with a lower fencing token: those
+    /// of earlier leaders and those to earlier incarnations.
+    pub fn record_contact(&mut self, now: Instant, settings: &Settings) {
+        if !self.contacted {
+            self.contacted = true;
+            let foreign_until = now + expired_after(settings.max_lease);
+            self.foreign_until = self.foreign_until.min(foreign_until);
+        }
+    }
+
     /// The end that the next hold releases, given the last recorded one; 0 if there is nothing new to release.
     ///
     /// Each incarnation numbers its ends anew. If a hold reaches the next incarnation, a number of the earlier one
--- a/crates/plan/src/engine/sync.rs
+++ b/crates/plan/src/engine/sync.rs
@@ -1,10 +1,11 @@
 use {
     super::{
         Engine,
-        engine::{LATE_START_LIMIT, RunKey, UnresolvedStart},
+        engine::{LATE_CALL_LIMIT, RunKey, UnresolvedStart},
         session::Session,
         tracked_run::{Phase, TrackedRun},
     },
+    std::time::Duration,
     work::{
         collections::IndexSet,
         id,
@@ -64,7 +65,7 @@
                     self.record_departure(upstream);
                 }
                 None => {
-                    self.sessions.shift_remove(id);
+                    self.remove_session(id);
                     self.speeds.forget(id);
                     self.unexplained_losses.discard(id);
                     self.addresses.remove(id);
@@ -88,8 +89,9 @@
             self.sync_upstream(registry, upstream);
         }
         let is_gone = |id: &id::Upstream| registry.upstream(id).is_none();
-        let gone = self.sessions.extract_if(.., |id, _| is_gone(id));
-        for (id, _) in gone.collect::<Vec<_>>() {
+        let gone = self.sessions.keys().filter(|id| is_gone(id)).cloned();
+        for id in gone.collect::<Vec<_>>() {
+            self.remove_session(&id);
             self.unexplained_losses.discard(&id);
             self.addresses.remove(&id);
             self.speeds.forget(&id);
@@ -110,12 +112,22 @@
 
     fn sync_upstream(&mut self, registry: &Registry, upstream: &Upstream) {
         self.addresses.set(&upstream.id, &upstream.address);
-        let known = self.sessions.get(&upstream.id);
-        if known.is_none_or(|session| session.born_ms != upstream.born_ms) {
-            if let Some(earlier) = known.cloned() {
-                self.record_crash(registry, &upstream.id, &earlier);
+        let known = self.sessions.get(&upstream.id).cloned();
+        if known
+            .as_ref()
+            .is_none_or(|session| session.born_ms != upstream.born_ms)
+        {
+            if let Some(earlier) = &known {
+                self.record_crash(registry, &upstream.id, earlier);
             }
-            let session = Session::new(upstream.born_ms, self.now, &self.settings);
+            let token_offset = match &known {
+                Some(earlier) => self.next_token_offset().max(earlier.token_offset + 1),
+                None if self.removed.contains_key(&upstream.id) => self.next_token_offset(),
+                None => 0,
+            };
+            let age = Duration::from_millis(self.time_ms.saturating_sub(upstream.born_ms));
+            let mut session = Session::new(upstream.born_ms, age, self.now, &self.settings);
+            session.token_offset = token_offset;
             self.sessions.insert(upstream.id.clone(), session);
             self.health.shift_remove(&upstream.id);
             self.speeds.restart(upstream);
@@ -126,6 +138,13 @@
         }
     }
 
+    /// Forgets the state of an upstream that was removed.
+    fn remove_session(&mut self, id: &id::Upstream) {
+        if self.sessions.shift_remove(id).is_some() {
+            self.removed.insert(id.clone(), self.now);
+        }
+    }
+
     /// Drops a tracked run that the registry does not have any more, or tracks one that an earlier leader assigned.
     fn sync_run(&mut self, registry: &Registry, key: RunKey) {
         let Some(run) = registry.run(&key.0, key.1) else {
@@ -181,7 +200,7 @@
         if tracked.has_unanswered_start {
             let unresolved = UnresolvedStart {
                 upstream: tracked.upstream.clone(),
-                until: self.now + LATE_START_LIMIT,
+                until: self.now + LATE_CALL_LIMIT,
             };
             self.unresolved_starts.insert(key, unresolved);
         }
--- a/crates/quorum/src/node/election.rs
+++ b/crates/quorum/src/node/election.rs
@@ -19,7 +19,7 @@
         }
         let (last_index, last_term) = (self.log.last_index(), self.log.last_term());
         for member in self.other_voters() {
-            let next_term = self.term + 1;
+            let next_term = self.settings.next_term(self.term);
             self.send(
                 member,
                 Body::PreVote {
@@ -34,7 +34,7 @@
     /// Becomes a candidate and asks for votes in a new term.
     fn start_election(&mut self, transfer: bool) {
         self.reset_election_deadline();
-        self.term += 1;
+        self.term = self.settings.next_term(self.term);
         self.vote = Some(self.me);
         self.leader = None;
         self.agreed_index = 0;
@@ -112,7 +112,7 @@
     }
 
     pub(super) fn on_pre_vote_grant(&mut self, from: Member, next_term: u64) {
-        let next = self.term + 1;
+        let next = self.settings.next_term(self.term);
         if let Role::PreCandidate(votes) = &mut self.role
             && next_term == next
             && !votes.contains(&from)
--- a/crates/quorum/src/settings/settings.rs
+++ b/crates/quorum/src/settings/settings.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
-/// Tunable values of a replica. All replicas of a group must use the same ones.
+/// Tunable values of a replica. All replicas of a group must use the same ones, unless
+/// stated otherwise.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Settings {
     /// Interval between the heartbeats of a leader.
@@ -13,6 +14,8 @@
     /// Length of the lease as a percentage of `election_timeout_min`; must be below 100. The rest
     /// allows for clocks that run at different rates.
     pub lease_percent: u32,
+    /// Terms in which this replica leads are multiples of this, at least 1. It may differ between the replicas of a group.
+    pub term_interval: u64,
     /// Most entry bytes in one message; a larger entry is sent alone.
     pub max_batch_bytes: usize,
     /// Number of unacknowledged entry bytes from which on a follower gets no further entries.
@@ -34,6 +37,7 @@
             election_timeout_min: Duration::from_millis(900),
             election_timeout_max: Duration::from_millis(1800),
             lease_percent: 90,
+            term_interval: 1,
             max_batch_bytes: 64 * 1024,
             max_inflight_bytes: 512 * 1024,
             max_uncommitted_bytes: 8 * 1024 * 1024,
@@ -50,6 +54,11 @@
         self.election_timeout_min * self.lease_percent / 100
     }
 
+    /// The first term after the given one in which a replica may lead.
+    pub fn next_term(&self, term: u64) -> u64 {
+        (term / self.term_interval + 1) * self.term_interval
+    }
+
     /// Time without an acknowledgement after which entries or snapshot chunks may be sent again.
     pub fn resend_timeout(&self) -> Duration {
         self.heartbeat_interval * 3
--- a/crates/quorum/tests/behaviour.rs
+++ b/crates/quorum/tests/behaviour.rs
@@ -30,6 +30,29 @@
     );
 }
 
+/// Guards against leaders whose terms are closer than the interval, so that numbers between their terms overlap.
+#[test]
+fn terms_of_leaders_are_an_interval_apart() {
+    let mut group = Group::new(Settings {
+        term_interval: 1000,
+        ..Settings::default()
+    });
+    let mut last_term = 0;
+    for _ in 0..4 {
+        let leader = group.wait_for_leader();
+        let term = group.nodes[leader].term();
+        assert!(
+            term.is_multiple_of(1000) && term > last_term,
+            "{term} after {last_term}"
+        );
+        last_term = term;
+        group.isolated.insert(leader);
+        group.run_for(5 * SECOND);
+        group.isolated.clear();
+        group.run_for(5 * SECOND);
+    }
+}
+
 /// Guards against committed commands that some replica does not apply, or applies out of order.
 #[test]
 fn replicates_commands_in_order() {
--- a/crates/quorum/tests/net/replica.rs
+++ b/crates/quorum/tests/net/replica.rs
@@ -48,11 +48,20 @@
         }
     }
 
-    /// Starts the process. Its clock may run 4% too fast or too slow.
+    /// Starts the process. Its clock may run 4% too fast or too slow. The term interval of the settings holds for every
+    /// other process, as in a group of two builds.
     pub fn start(&mut self, settings: Settings, fault: Option<Fault>, rng: &mut StdRng, time: u64) {
         self.clock_rate = *[0.96, 1.0, 1.04].choose(rng).unwrap_or(&1.0);
         let disk_contents = self.disk.contents.clone();
         self.state_machine = StateMachine::load(disk_contents.snapshot.as_ref());
+        let term_interval = match (self.id + self.epoch).is_multiple_of(2) {
+            true => settings.term_interval,
+            false => 1,
+        };
+        let settings = Settings {
+            term_interval,
+            ..settings
+        };
         let mut node = Node::new(
             self.id,
             settings,
--- a/crates/quorum/tests/net/simulation.rs
+++ b/crates/quorum/tests/net/simulation.rs
@@ -193,6 +193,10 @@
             operations_end: 40_000 * MS,
             stats: Stats::default(),
             settings: Settings {
+                term_interval: match fault {
+                    None if seed % 2 == 1 => 1 << 32,
+                    _ => 1,
+                },
                 max_batch_bytes: 256,
                 max_inflight_bytes: 600,
                 snapshot_chunk_bytes: 512,
