plan: take no clock from an answer of an earlier incarnation

Change: the clock, and the sign of life, count only if the start was sent to the same incarnation.

Test: an_answer_of_an_earlier_incarnation_tells_nothing_of_the_clock failed on the code before (a lease until 68120 at 4200).

--- a/crates/plan/src/engine/engine.rs
+++ b/crates/plan/src/engine/engine.rs
@@ -55,6 +55,14 @@
     pub until: Instant,
 }
 
+/// A start that has no answer yet.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct StartCall {
+    pub key: RunKey,
+    /// Incarnation of the upstream that it was sent to.
+    pub born_ms: u64,
+}
+
 /// Task and number of a run.
 pub(super) type RunKey = (id::Task, u32);
 
@@ -70,7 +78,7 @@
     /// Upstreams of the holds that have no answer yet, by call.
     pub(super) hold_calls: IndexMap<u64, id::Upstream>,
     /// Runs of the starts that have no answer yet, by call.
-    pub(super) start_calls: IndexMap<u64, RunKey>,
+    pub(super) start_calls: IndexMap<u64, StartCall>,
     /// Runs of the stops that have no answer yet, by call.
     pub(super) stop_calls: IndexMap<u64, RunKey>,
     /// Unanswered starts whose runs were given up.
--- a/crates/plan/src/engine/runs.rs
+++ b/crates/plan/src/engine/runs.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         Effect, Engine, Failure, Start, Stop,
-        engine::RunKey,
+        engine::{RunKey, StartCall},
         tracked_run::{Phase, RESEND_DELAY, StopOrder, TrackedRun},
     },
     std::time::{Duration, Instant},
@@ -121,7 +121,8 @@
             return;
         };
         tracked.phase = Phase::Sending { call };
-        self.start_calls.insert(call, key);
+        let born_ms = session.born_ms;
+        self.start_calls.insert(call, StartCall { key, born_ms });
         tracked.start_attempts += 1;
         let order = Start {
             task,
@@ -156,7 +157,7 @@
         registry: &Registry,
     ) {
         let now = self.now;
-        let Some(key) = self.start_calls.swap_remove(&call) else {
+        let Some(StartCall { key, born_ms }) = self.start_calls.swap_remove(&call) else {
             return;
         };
         let Some(tracked) = self
@@ -172,7 +173,9 @@
                 tracked.phase = Phase::Started { at: now };
                 tracked.progressed_at = now;
                 tracked.seen_at = now;
-                if let Some(session) = self.sessions.get_mut(&upstream) {
+                if let Some(session) = self.sessions.get_mut(&upstream)
+                    && session.born_ms == born_ms
+                {
                     session.last_heard = now;
                     if let Some(clock_ms) = clock_ms {
                         session.set_clock(clock_ms, now);
--- a/crates/plan/tests/incarnations.rs
+++ b/crates/plan/tests/incarnations.rs
@@ -416,3 +416,37 @@
     scene.carry_out_late(late);
     scene.assert_over_once_given_up();
 }
+
+/// Guards against leases that are computed from the clock of an earlier incarnation.
+#[test]
+fn an_answer_of_an_earlier_incarnation_tells_nothing_of_the_clock() {
+    let mut scene = Scene::new();
+    scene.node.running = None;
+    let mut late = None;
+    while late.is_none() {
+        assert!(scene.now_ms < CRASH_MS, "the task is never started again");
+        scene.run_until(scene.now_ms + STEP_MS);
+        // Takes the answer to the start out of the queue.
+        let is_start = |event: &Event| matches!(event, Event::StartAnswered { answer: Ok(Some(clock_ms)), .. } if *clock_ms >= FIRST_CLOCK_MS);
+        if let Some(index) = scene.events.iter().position(is_start) {
+            late = Some(scene.events.remove(index));
+        }
+    }
+    scene.crash();
+    scene.run_until(scene.now_ms + 100);
+    scene.restart();
+    scene.run_until(scene.now_ms + 200);
+    scene.events.extend(late);
+    scene.run_until(scene.now_ms + 2000);
+    scene.is_reachable = false;
+    scene.run_until(scene.now_ms + 2000);
+    let Some((Call::Hold(hold), _)) = scene.unanswered else {
+        panic!("no hold is under way");
+    };
+    let until_ms = hold.lease_until_ms.expect("a lease");
+    let clock_ms = scene.node.clock_ms(scene.now_ms);
+    assert!(
+        until_ms <= clock_ms + MAX_LEASE_MS,
+        "a lease until {until_ms} at {clock_ms}"
+    );
+}
