--- a/crates/plan/tests/loss/cluster.rs
+++ b/crates/plan/tests/loss/cluster.rs
@@ -34,6 +34,9 @@
 /// Work of a task that does not crash its upstream.
 pub const WORK_MS: u64 = 2500;
 
+/// Time in addition to the wait of a hold after which it has failed.
+const HOLD_MARGIN_MS: u64 = 700;
+
 /// Number of ends that an upstream lists at a time.
 pub const MAX_LISTED_ENDS: usize = 500;
 
@@ -64,6 +67,13 @@
     last_end: u64,
 }
 
+/// A hold whose answer its upstream delays.
+struct DelayedHold {
+    call: u64,
+    target: Target,
+    until_ms: u64,
+}
+
 pub struct Cluster {
     pub registry: Registry,
     pub now_ms: u64,
@@ -85,6 +95,9 @@
     origin: Instant,
     nodes: Vec<Node>,
     events: Vec<Event>,
+    /// Whether upstreams delay their answers to holds until a run ends, as the holds ask for.
+    pub delays_answers: bool,
+    delayed_holds: Vec<DelayedHold>,
     /// Failures of calls to upstreams that are cut off, with the time at which they are known.
     timeouts: Vec<(u64, Event)>,
     lives: u64,
@@ -114,6 +127,8 @@
             origin,
             nodes: Vec::new(),
             events: Vec::new(),
+            delays_answers: false,
+            delayed_holds: Vec::new(),
             timeouts: Vec::new(),
             lives: 0,
         };
@@ -175,6 +190,7 @@
     pub fn replace_leader(&mut self) {
         self.events.clear();
         self.timeouts.clear();
+        self.delayed_holds.clear();
         self.engine = Engine::new(Settings::default(), self.now());
     }
 
@@ -241,6 +257,7 @@
             let now_ms = self.now_ms;
             let timeouts = self.timeouts.extract_if(.., |(at_ms, _)| *at_ms <= now_ms);
             self.events.extend(timeouts.map(|(_, event)| event));
+            self.answer_delayed_holds();
             let events = std::mem::take(&mut self.events);
             let at_ms = EPOCH_MS + self.now_ms;
             let effects = self.engine.step(events, &self.registry, self.now(), at_ms);
@@ -322,7 +339,7 @@
                 self.events.push(Event::HeartbeatReceived {
                     upstream: node.id.clone(),
                     born_ms: node.born_ms,
-                    clock_ms: Some(now_ms),
+                    clock_ms: Some(node.clock_ms(now_ms)),
                 });
             }
         }
@@ -357,6 +374,26 @@
         }
     }
 
+    /// Answers the delayed holds that are due or have an end to list. A crash breaks them; behind a cut they time out.
+    fn answer_delayed_holds(&mut self) {
+        let now_ms = self.now_ms;
+        for hold in std::mem::take(&mut self.delayed_holds) {
+            let is_due = now_ms >= hold.until_ms;
+            let is_timed_out = now_ms >= hold.until_ms + HOLD_MARGIN_MS;
+            let answer = match self.reach(&hold.target) {
+                Ok(node) if is_due || !node.ended.is_empty() => Ok(node.list(now_ms)),
+                Err(Failure::NoAnswer(reason)) if is_timed_out => Err(Failure::NoAnswer(reason)),
+                Ok(_) | Err(Failure::NoAnswer(_)) => {
+                    self.delayed_holds.push(hold);
+                    continue;
+                }
+                Err(_) => Err(Failure::NoAnswer("closed".into())),
+            };
+            let call = hold.call;
+            self.events.push(Event::HoldAnswered { call, answer });
+        }
+    }
+
     fn carry_out(&mut self, effect: Effect) {
         let now_ms = self.now_ms;
         let event = match effect {
@@ -366,10 +403,22 @@
                 target,
                 order,
             } => {
+                let delays_answers = self.delays_answers;
+                let wait_ms = order.wait.as_millis() as u64;
+                let mut is_delayed = false;
                 let answer = self.reach(&target).map(|node| {
                     node.ended.retain(|end| end.number > order.last_end);
+                    is_delayed = delays_answers && wait_ms > 0 && node.ended.is_empty();
                     node.list(now_ms)
                 });
+                if is_delayed {
+                    let until_ms = now_ms + wait_ms;
+                    return self.delayed_holds.push(DelayedHold {
+                        call,
+                        target,
+                        until_ms,
+                    });
+                }
                 Event::HoldAnswered { call, answer }
             }
             Effect::Start {
@@ -388,7 +437,7 @@
                     if order.task.job == DEADLY {
                         node.crash_at_ms = Some(now_ms + CRASH_AFTER_MS);
                     }
-                    Some(now_ms)
+                    Some(node.clock_ms(now_ms))
                 });
                 if begins && self.done.contains(&order.task) {
                     self.started_again.push(order.task);
@@ -420,7 +469,7 @@
                     {
                         node.end(order.task, order.run, Outcome::Stopped);
                     }
-                    Some(now_ms)
+                    Some(node.clock_ms(now_ms))
                 });
                 Event::StopAnswered { call, answer }
             }
@@ -455,6 +504,11 @@
 }
 
 impl Node {
+    /// Its clock, which starts with the incarnation.
+    fn clock_ms(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(self.born_ms)
+    }
+
     fn end(&mut self, task: id::Task, run: u32, how: Outcome) {
         self.last_end += 1;
         self.ended.push(End {
@@ -475,7 +529,7 @@
         });
         Listing {
             born_ms: Some(self.born_ms),
-            clock_ms: Some(now_ms),
+            clock_ms: Some(self.clock_ms(now_ms)),
             running: running.collect(),
             ended: self.ended.iter().take(MAX_LISTED_ENDS).cloned().collect(),
             has_more_ends: self.ended.len() > MAX_LISTED_ENDS,
--- a/crates/plan/tests/loss/cut.rs
+++ b/crates/plan/tests/loss/cut.rs
@@ -1,7 +1,7 @@
 //! Upstreams that are cut off for longer than the leases of their runs.
 
 use {
-    crate::cluster::{Cluster, Return},
+    crate::cluster::{Cluster, Return, WORK_MS},
     work::{id, registry::State},
 };
 
@@ -78,3 +78,30 @@
         assert!(cluster.crashes.is_empty(), "{:?}", cluster.crashes);
     }
 }
+
+/// Guards against jobs that end as failed because their runs had ended behind a cut when the upstream crashed, and had not
+/// been seen to make progress before: holds wait for longer than the runs were in touch.
+#[test]
+fn a_task_that_ends_behind_cuts_before_its_progress_is_known_is_not_given_up() {
+    for returns in [Return::NewId, Return::SameId] {
+        let mut cluster = Cluster::new(8, returns);
+        cluster.cut_timeout_ms = 500;
+        cluster.restart_after_ms = 100;
+        cluster.delays_answers = true;
+        cluster.submit(JOB, 1, 8, false);
+        for _ in 0..6 {
+            cluster.run_until_started(JOB, 1);
+            cluster.run_for(300);
+            cluster.set_cut(Some(JOB));
+            cluster.run_for(WORK_MS + 500);
+            assert_eq!(cluster.running(JOB), 0);
+            cluster.crash_cut();
+            cluster.run_for(100);
+            cluster.set_cut(None);
+        }
+        cluster.run_for(15_000);
+        let job = cluster.registry.job(JOB).expect("the job is known");
+        assert_eq!(job.state, State::Completed);
+        assert!(cluster.crashes.is_empty(), "{:?}", cluster.crashes);
+    }
+}
