plan: give a task twice the time after each stalled run

Cause: the time without progress comes from the estimate alone, which may be far off, and each run was judged like the first.

Change: each stalled run of a task or gang doubles the time for the next one, and only the first counts against its upstream. A leader that takes over a run gives it the time of a task whose earlier runs have all stalled.

--- a/crates/plan/src/engine/engine.rs
+++ b/crates/plan/src/engine/engine.rs
@@ -3,7 +3,7 @@
         Effect, Effort, Event, Failure, MAX_TOKEN_OFFSET, Refusal, Settings, Target,
         addresses::Addresses, advice::Advice, avoidance::Avoidance, drain::Departures, evacuation,
         first_runs::FirstRuns, fleet_report::FleetWatch, load_report::LoadWatch,
-        reservations::Reservation, session::Session, tracked_run::TrackedRun,
+        reservations::Reservation, session::Session, stalls::Stalls, tracked_run::TrackedRun,
         unexplained_losses::UnexplainedLosses, usage::Usage,
     },
     crate::{
@@ -84,6 +84,7 @@
     /// Unanswered starts whose runs were given up.
     pub(super) unresolved_starts: IndexMap<RunKey, UnresolvedStart>,
     pub(super) unexplained_losses: UnexplainedLosses,
+    pub(super) stalls: Stalls,
     pub(super) first_runs: FirstRuns,
     /// Placements in proposals without a known outcome, by proposal.
     pub(super) proposed_placements: IndexMap<u64, Vec<Placement>>,
@@ -148,6 +149,7 @@
             stop_calls: IndexMap::default(),
             unresolved_starts: IndexMap::default(),
             unexplained_losses: UnexplainedLosses::default(),
+            stalls: Stalls::default(),
             first_runs: FirstRuns::default(),
             proposed_placements: IndexMap::default(),
             proposed_voids: IndexMap::default(),
@@ -382,6 +384,7 @@
             job.is_some_and(|job| job.state == State::Open)
         };
         self.unexplained_losses.discard_ended(is_open);
+        self.stalls.discard_ended(is_open);
         self.speeds.prune(is_open);
         self.prune_first_runs(registry);
         let now = self.now;
--- a/crates/plan/src/engine/mod.rs
+++ b/crates/plan/src/engine/mod.rs
@@ -27,6 +27,7 @@
 mod runs;
 mod session;
 mod settings;
+mod stalls;
 mod sync;
 mod tracked_run;
 mod unexplained_losses;
--- a/crates/plan/src/engine/runs.rs
+++ b/crates/plan/src/engine/runs.rs
@@ -2,6 +2,7 @@
     super::{
         Effect, Engine, Failure, Start, Stop,
         engine::{RunKey, StartCall},
+        stalls,
         tracked_run::{Phase, RESEND_DELAY, StopOrder, TrackedRun},
     },
     std::time::{Duration, Instant},
@@ -417,7 +418,18 @@
             .get(&tracked.upstream)
             .is_some_and(|session| session.failures == 0);
         let percent = Duration::from_millis(u64::from(step.estimate_ms)) / 100;
-        let stall_time = STALL_AFTER.max(percent * STALL_ESTIMATE_PERCENT);
+        let unit = match step.gang {
+            true => id::Task { index: 0, ..key.0 },
+            false => key.0,
+        };
+        // An earlier leader may have stopped the earlier runs as stalled.
+        let inherited = match tracked.is_inherited {
+            true => key.1.saturating_sub(1),
+            false => 0,
+        };
+        let stalled_runs = self.stalls.count(&unit).max(inherited);
+        let stall_time =
+            STALL_AFTER.max(percent * STALL_ESTIMATE_PERCENT) * stalls::patience(stalled_runs);
         let warm = self.warm_from(&tracked.upstream);
         let since = tracked
             .progressed_at
@@ -426,15 +438,17 @@
             return;
         }
         let upstream = tracked.upstream.clone();
-        // One stalled member stops the progress of its whole gang, so only single tasks count against their upstream.
-        if !step.gang {
+        self.stalls.record(unit);
+        // One stalled member stops the progress of its whole gang, so only single tasks count against their upstream. One
+        // that stalls repeatedly needs more time than its estimate, wherever it runs.
+        if !step.gang && stalled_runs == 0 {
             self.health
                 .entry(upstream.clone())
                 .or_default()
                 .record_stall(now);
         }
         log::warn!(
-            "event=run_stalled task={} run={} upstream={upstream} percent={} still_ms={}",
+            "event=run_stalled task={} run={} upstream={upstream} percent={} still_ms={} earlier={stalled_runs}",
             key.0,
             key.1,
             tracked.percent,
--- a/crates/plan/src/engine/tracked_run.rs
+++ b/crates/plan/src/engine/tracked_run.rs
@@ -38,6 +38,8 @@
     pub born_ms: u64,
     pub resources: Resources,
     pub phase: Phase,
+    /// Whether an earlier leader assigned it.
+    pub is_inherited: bool,
     /// Time of the assignment, or of the takeover from an earlier leader.
     pub tracked_since: Instant,
     /// Number of starts sent.
@@ -79,6 +81,7 @@
             born_ms,
             resources,
             phase,
+            is_inherited: phase == Phase::Inherited,
             tracked_since: now,
             start_attempts: 0,
             has_unanswered_start: false,
--- a/crates/plan/tests/loss/main.rs
+++ b/crates/plan/tests/loss/main.rs
@@ -8,4 +8,5 @@
 mod ends;
 mod failure;
 mod gang;
+mod long;
 mod waiting;
