plan: let guaranteed work preempt tasks that last

Cause: runs of tasks that last were preempted for no work.

Change: once a guarantee is due, they may be preempted for it, of a step with `mayMiss` no more at a time than it allows.

--- a/crates/plan/src/engine/lasting.rs
+++ b/crates/plan/src/engine/lasting.rs
@@ -84,6 +84,23 @@
         moving
     }
 
+    /// Number of tasks of the step that may be stopped for a guarantee. A step that says how many of its tasks may be
+    /// unavailable loses no more than that; the others have no such promise.
+    pub(super) fn displaceable(&self, task: id::Task, step: &Step) -> usize {
+        let spare = usize::from(step.spare);
+        if spare == 0 {
+            return usize::from(step.count);
+        }
+        let is_member = |key: &RunKey| key.0.is_same_step(&task);
+        let runs = self.tracked_runs.iter().filter(|(key, _)| is_member(key));
+        let at_work: IndexSet<u16> = runs
+            .filter(|(_, tracked)| self.is_at_work(tracked))
+            .map(|(key, _)| key.0.index)
+            .collect();
+        let away = usize::from(step.count) - at_work.len();
+        spare.saturating_sub(away)
+    }
+
     /// Number of tasks of the step, other than the given one, that are not known to be at work.
     fn away_beside(&self, registry: &Registry, task: id::Task, step: &Step) -> usize {
         let others = (0..step.count).filter(|index| *index != task.index);
--- a/crates/plan/src/engine/preemption.rs
+++ b/crates/plan/src/engine/preemption.rs
@@ -141,6 +141,8 @@
     fn victims(&self, round: &Round<'_>, claim: Claim<'_>) -> Vec<Victim> {
         let mut groups: IndexMap<RunKey, Victim> = IndexMap::default();
         let mut protected: IndexSet<RunKey> = IndexSet::default();
+        // How many more tasks of each step that lasts may be stopped.
+        let mut displaceable: IndexMap<id::Task, usize> = IndexMap::default();
         for (key, tracked) in &self.tracked_runs {
             let (Some(job), Some(step)) =
                 (round.registry.job(key.0.job), round.registry.step(&key.0))
@@ -167,12 +169,20 @@
             let lower = queue.priority > claim.priority || exceeds_guarantee;
             let progress = round.registry.task(&key.0);
             let has_few_starts = progress.is_some_and(|task| task.losses.leaves_few_starts());
-            if !lower
-                || has_few_starts
-                || step.lasting
-                || tracked.stopping.is_some()
-                || tracked.percent >= NEARLY_DONE_PERCENT
-            {
+            let mut is_protected = !lower || has_few_starts || tracked.stopping.is_some();
+            is_protected |= match step.lasting {
+                true => claim.guaranteed.is_none(),
+                false => tracked.percent >= NEARLY_DONE_PERCENT,
+            };
+            if step.lasting && !is_protected {
+                let first_task = id::Task { index: 0, ..key.0 };
+                let left = displaceable
+                    .entry(first_task)
+                    .or_insert_with(|| self.displaceable(key.0, step));
+                is_protected = *left == 0;
+                *left = left.saturating_sub(1);
+            }
+            if is_protected {
                 protected.insert(group);
                 continue;
             }
