plan: take each reading of an upstream's clock

Found on reading: it ignored readings behind what is known. An upstream whose clock had stood still would have got leases that are too long for good, while a reading that arrives late only makes one lease shorter.

--- a/crates/plan/src/engine/engine.rs
+++ b/crates/plan/src/engine/engine.rs
@@ -84,6 +84,7 @@
     /// Unanswered starts whose runs were given up.
     pub(super) unresolved_starts: IndexMap<RunKey, UnresolvedStart>,
     pub(super) unexplained_losses: UnexplainedLosses,
+    /// Stalled runs of tasks that have not ended.
     pub(super) stalls: Stalls,
     pub(super) first_runs: FirstRuns,
     /// Placements in proposals without a known outcome, by proposal.
--- a/crates/plan/src/engine/session.rs
+++ b/crates/plan/src/engine/session.rs
@@ -44,7 +44,7 @@
     pub draining: bool,
     /// Time of the last message from the upstream.
     pub last_heard: Instant,
-    /// Latest known clock of the upstream in milliseconds, and the time when it was received.
+    /// Clock of the upstream in milliseconds, and the time when it was received.
     clock: Option<(u64, Instant)>,
     /// Time until which it is slow after its start, by its own account.
     pub cold_until: Option<Instant>,
@@ -59,7 +59,7 @@
     /// Time after which every lease given by this leader to this incarnation has expired.
     granted_until: Instant,
     /// Time after which every lease has expired that calls of earlier leaders or to earlier incarnations can give.
-    foreign_until: Instant,
+    earlier_until: Instant,
     /// Number of consecutive failed holds.
     pub failures: u32,
     /// Time of the latest failed hold.
@@ -96,7 +96,7 @@
             may_need_hold: true,
             token_offset: 0,
             granted_until: now,
-            foreign_until: now + late_calls + expired_after(settings.max_lease),
+            earlier_until: now + late_calls + expired_after(settings.max_lease),
             failures: 0,
             failed_at: now,
             lost_at: now,
@@ -112,14 +112,9 @@
         settings.max_lease.min(LEASE_LIMIT)
     }
 
-    /// Records the clock of the upstream, unless it is older than what is known: answers can overtake each other.
+    /// Records the clock of the upstream.
     pub fn set_clock(&mut self, clock_ms: u64, now: Instant) {
-        if self
-            .least_clock_ms(now)
-            .is_none_or(|known_ms| clock_ms >= known_ms)
-        {
-            self.clock = Some((clock_ms, now));
-        }
+        self.clock = Some((clock_ms, now));
     }
 
     /// The least time that the upstream's clock can show now, in milliseconds.
@@ -160,7 +155,7 @@
 
     /// Time after which every lease has expired.
     pub fn lease_end(&self) -> Instant {
-        self.granted_until.max(self.foreign_until)
+        self.granted_until.max(self.earlier_until)
     }
 
     /// Records that it has answered a hold of this leader. From then on it refuses calls with a lower fencing token: those
@@ -168,8 +163,8 @@
     pub fn record_contact(&mut self, now: Instant, settings: &Settings) {
         if !self.contacted {
             self.contacted = true;
-            let foreign_until = now + expired_after(settings.max_lease);
-            self.foreign_until = self.foreign_until.min(foreign_until);
+            let earlier_until = now + expired_after(settings.max_lease);
+            self.earlier_until = self.earlier_until.min(earlier_until);
         }
     }
 
--- a/crates/quorum/src/message/validate.rs
+++ b/crates/quorum/src/message/validate.rs
@@ -1,8 +1,8 @@
 use super::{Body, Message};
 
 /// Exclusive limit of all numbers in a message. Indices and rounds grow by one at a time and
-/// terms by their interval, and none reaches it, so a message with a larger number is damaged or hostile. Sums with it could
-/// overflow.
+/// terms by their interval, and none reaches it, so a message with a larger number is damaged or
+/// hostile. Sums with it could overflow.
 const NUMBER_LIMIT: u64 = 1 << 62;
 
 impl Message {
--- a/crates/quorum/src/settings/settings.rs
+++ b/crates/quorum/src/settings/settings.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
-/// Tunable values of a replica. All replicas of a group must use the same ones, unless
-/// stated otherwise.
+/// Tunable values of a replica. All replicas of a group must use the same ones, but for the term
+/// interval.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Settings {
     /// Interval between the heartbeats of a leader.
@@ -14,7 +14,8 @@
     /// Length of the lease as a percentage of `election_timeout_min`; must be below 100. The rest
     /// allows for clocks that run at different rates.
     pub lease_percent: u32,
-    /// Terms in which this replica leads are multiples of this, at least 1. It may differ between the replicas of a group.
+    /// Terms in which this replica leads are multiples of this, at least 1, so that the numbers
+    /// between them are free for other uses.
     pub term_interval: u64,
     /// Most entry bytes in one message; a larger entry is sent alone.
     pub max_batch_bytes: usize,
