--- a/crates/plan/tests/incarnations.rs
+++ b/crates/plan/tests/incarnations.rs
@@ -109,7 +109,7 @@
     events: Vec<Event>,
     /// The latest call to `a` without an answer, with its token.
     unanswered: Option<(Call, u64)>,
-    /// Least and greatest token of the calls to `a` since the last check.
+    /// Tokens of the calls to `a` since its incarnation began.
     tokens: Vec<u64>,
     /// When the leader took the run on `a` to be over because of its lease.
     lapsed_ms: Option<u64>,
