--- a/crates/plan/tests/loss/cluster.rs
+++ b/crates/plan/tests/loss/cluster.rs
@@ -1,15 +1,18 @@
 //! A leader and upstreams on a virtual clock. Tasks of the job [`DEADLY`] crash each upstream that starts them.
 
 use {
+    crate::{
+        node::{Node, work_ms},
+        work_load::{config, step},
+    },
     indexmap::{IndexMap, IndexSet},
-    plan::engine::{Effect, Engine, Event, Failure, Listing, Refusal, Running, Settings, Target},
+    plan::engine::{Effect, Engine, Event, Failure, Refusal, Settings, Target},
     std::time::{Duration, Instant},
     work::{
-        config::{Config, Queue, Service},
         id,
         job::{Definition, Resources, Step},
         registry::{Answer, Command, Registry, Update},
-        upstream::{End, Outcome, Upstream},
+        upstream::{Outcome, Upstream},
     },
 };
 
@@ -43,9 +46,6 @@
 /// Time in addition to the wait of a hold after which it has failed.
 const HOLD_MARGIN_MS: u64 = 700;
 
-/// Number of ends that an upstream lists at a time.
-pub const MAX_LISTED_ENDS: usize = 500;
-
 /// Wall-clock time at the start of the test, in milliseconds since the Unix epoch.
 const EPOCH_MS: u64 = 1_000_000;
 
@@ -58,21 +58,6 @@
     SameId,
 }
 
-struct Node {
-    id: id::Upstream,
-    address: String,
-    born_ms: u64,
-    is_up: bool,
-    /// Whether it is cut off: it runs on and no call reaches it.
-    is_cut: bool,
-    crash_at_ms: Option<u64>,
-    back_at_ms: u64,
-    accelerators: i64,
-    running: IndexMap<(id::Task, u32), u64>,
-    ended: Vec<End>,
-    last_end: u64,
-}
-
 /// A hold whose answer its upstream delays.
 struct DelayedHold {
     call: u64,
@@ -508,78 +493,3 @@
         }
     }
 }
-
-impl Node {
-    /// Its clock, which starts with the incarnation.
-    fn clock_ms(&self, now_ms: u64) -> u64 {
-        now_ms.saturating_sub(self.born_ms)
-    }
-
-    fn end(&mut self, task: id::Task, run: u32, how: Outcome) {
-        self.last_end += 1;
-        self.ended.push(End {
-            number: self.last_end,
-            task,
-            run,
-            how,
-            checkpoint: String::new(),
-        });
-    }
-
-    fn list(&self, now_ms: u64) -> Listing {
-        let running = self.running.iter().map(|((task, run), begun_ms)| Running {
-            task: *task,
-            run: *run,
-            checkpoint: String::new(),
-            percent: ((now_ms - begun_ms) * 100 / work_ms(task.job)) as u8,
-        });
-        Listing {
-            born_ms: Some(self.born_ms),
-            clock_ms: Some(self.clock_ms(now_ms)),
-            running: running.collect(),
-            ended: self.ended.iter().take(MAX_LISTED_ENDS).cloned().collect(),
-            has_more_ends: self.ended.len() > MAX_LISTED_ENDS,
-        }
-    }
-}
-
-/// Work of a task of the job.
-fn work_ms(job: id::Job) -> u64 {
-    match job {
-        LONG => LONG_WORK_MS,
-        _ => WORK_MS,
-    }
-}
-
-/// A step of tasks that need these accelerators each.
-pub fn step(count: u16, accelerators: i64) -> Step {
-    Step {
-        count,
-        need: Resources {
-            accelerators,
-            ..Resources::default()
-        },
-        estimate_ms: WORK_MS as u32,
-        ..Step::default()
-    }
-}
-
-fn config() -> Config {
-    Config {
-        version: 1,
-        queues: vec![Queue {
-            name: "queue".into(),
-            service: "pool".into(),
-            priority: 1,
-            stretch: 3.0,
-            objective_ms: 5000,
-            attempts: 3,
-            ..Queue::default()
-        }],
-        services: vec![Service {
-            name: "pool".into(),
-            ..Service::default()
-        }],
-        ..Config::default()
-    }
-}
--- a/crates/plan/tests/loss/ends.rs
+++ b/crates/plan/tests/loss/ends.rs
@@ -1,7 +1,11 @@
 //! Upstreams with more ends than they list at a time.
 
 use {
-    crate::cluster::{Cluster, MAX_LISTED_ENDS, Return, WORK_MS, step},
+    crate::{
+        cluster::{Cluster, Return, WORK_MS},
+        node::MAX_LISTED_ENDS,
+        work_load::step,
+    },
     work::{id, registry::State},
 };
 
--- a/crates/plan/tests/loss/failure.rs
+++ b/crates/plan/tests/loss/failure.rs
@@ -1,7 +1,10 @@
 //! Tasks that fail on one upstream after another.
 
 use {
-    crate::cluster::{Cluster, FAILING, Return, step},
+    crate::{
+        cluster::{Cluster, FAILING, Return},
+        work_load::step,
+    },
     work::{id, job::Step, registry::State},
 };
 
--- a/crates/plan/tests/loss/main.rs
+++ b/crates/plan/tests/loss/main.rs
@@ -9,4 +9,6 @@
 mod failure;
 mod gang;
 mod long;
+mod node;
 mod waiting;
+mod work_load;
