plan: log the incarnations that starts, voids and strays belong to

The three hypotheses of docs/incidents/tasks-twice-after-restarts.md differ in which incarnation a run was begun in, which one was known when it was given up, and whether a start of it had no answer. The lines run_start, start_failed, run_void and run_stray now tell. No decision changes.

--- a/crates/plan/src/engine/engine.rs
+++ b/crates/plan/src/engine/engine.rs
@@ -331,12 +331,18 @@
         let blame = self.blame_of_void(registry, key, reason);
         let tracked = self.tracked_runs.get(&key);
         log::info!(
-            "event=run_void task={} run={} upstream={} reason={reason} blame={blame} started={} percent={}",
+            "event=run_void task={} run={} upstream={} reason={reason} blame={blame} started={} percent={} born_ms={} session_born_ms={} tries={} unanswered={}",
             key.0,
             key.1,
             tracked.map_or("", |tracked| tracked.upstream.as_str()),
             tracked.is_some_and(TrackedRun::is_known_to_have_started),
-            tracked.map_or(0, |tracked| tracked.percent)
+            tracked.map_or(0, |tracked| tracked.percent),
+            tracked.map_or(0, |tracked| tracked.born_ms),
+            tracked
+                .and_then(|tracked| self.sessions.get(&tracked.upstream))
+                .map_or(0, |session| session.born_ms),
+            tracked.map_or(0, |tracked| tracked.start_attempts),
+            tracked.is_some_and(|tracked| tracked.has_unanswered_start)
         );
         self.updates.push(Update::Void {
             task: key.0,
--- a/crates/plan/src/engine/hold.rs
+++ b/crates/plan/src/engine/hold.rs
@@ -278,8 +278,13 @@
             return;
         };
         session.strays = strays.iter().copied().collect();
+        let born_ms = session.born_ms;
         for key in strays {
-            log::warn!("event=run_stray upstream={id} task={} run={}", key.0, key.1);
+            log::warn!(
+                "event=run_stray upstream={id} task={} run={} born_ms={born_ms}",
+                key.0,
+                key.1
+            );
             self.send_stop(registry, id, key);
         }
     }
--- a/crates/plan/src/engine/runs.rs
+++ b/crates/plan/src/engine/runs.rs
@@ -134,7 +134,7 @@
             ticket,
         };
         log::info!(
-            "event=run_start task={task} run={run} upstream={upstream} service={} queue={} try={} resumed={} waited_ms={}",
+            "event=run_start task={task} run={run} upstream={upstream} service={} queue={} try={} resumed={} waited_ms={} born_ms={born_ms}",
             registry
                 .upstream(&upstream)
                 .map_or("-", |upstream| &upstream.service),
@@ -185,7 +185,7 @@
             }
             Err(failure) => {
                 log::warn!(
-                    "event=start_failed task={} run={} upstream={upstream} try={} error=\"{failure}\"",
+                    "event=start_failed task={} run={} upstream={upstream} try={} born_ms={born_ms} error=\"{failure}\"",
                     key.0,
                     key.1,
                     tracked.start_attempts
