--- /dev/null
+++ b/crates/plan/tests/incarnations/main.rs
@@ -0,0 +1,7 @@
+//! Calls to an earlier incarnation of an upstream that are carried out late, by the next one under the same id.
+
+#[path = "../leader/mod.rs"]
+mod leader;
+
+mod leases;
+mod scene;
--- a/crates/plan/tests/incarnations.rs
+++ b/crates/plan/tests/incarnations/scene.rs
@@ -1,63 +1,59 @@
-//! Calls to an earlier incarnation of an upstream that are carried out late, by the next one under the same id.
-
-mod leader;
-
 use {
-    leader::{registry, sweep_task},
+    crate::leader::{registry, sweep_task},
     plan::engine::{
         Effect, Engine, Event, Failure, Hold, Listing, Refusal, Running, Settings, Start, Target,
     },
     std::time::{Duration, Instant},
     work::{
         id,
-        registry::{Answer, Command, Placement, Registry, Update, Void},
+        registry::{Answer, Command, Registry, Update, Void},
     },
 };
 
 /// Interval between two steps of the engine.
-const STEP_MS: u64 = 20;
+pub const STEP_MS: u64 = 20;
 
 /// Time of day at the start.
-const EPOCH_MS: u64 = 1_000_000_000;
+pub const EPOCH_MS: u64 = 1_000_000_000;
 
 /// Clock of the first incarnation at the start.
-const FIRST_CLOCK_MS: u64 = 60_000;
+pub const FIRST_CLOCK_MS: u64 = 60_000;
 
 /// Longest lease that an upstream accepts.
-const MAX_LEASE_MS: u64 = 6000;
+pub const MAX_LEASE_MS: u64 = 6000;
 
-const CRASH_MS: u64 = 5000;
-const RESTART_MS: u64 = 5600;
-const CUT_MS: u64 = 7600;
+pub const CRASH_MS: u64 = 5000;
+pub const RESTART_MS: u64 = 5600;
+pub const CUT_MS: u64 = 7600;
 
 /// When a late call is carried out.
-const LATE_MS: u64 = 10_700;
+pub const LATE_MS: u64 = 10_700;
 
 /// Upstream `a`, which restarts under its id.
-struct Node {
-    born_ms: u64,
+pub struct Node {
+    pub born_ms: u64,
     /// When its clock was 0; before the start of the test for the first incarnation.
-    clock_start_ms: i64,
-    token: u64,
-    lease_until_ms: u64,
-    running: Option<(id::Task, u32)>,
+    pub clock_start_ms: i64,
+    pub token: u64,
+    pub lease_until_ms: u64,
+    pub running: Option<(id::Task, u32)>,
 }
 
 impl Node {
-    fn clock_ms(&self, now_ms: u64) -> u64 {
+    pub fn clock_ms(&self, now_ms: u64) -> u64 {
         (now_ms as i64 - self.clock_start_ms) as u64
     }
 
-    fn extend(&mut self, until_ms: u64, now_ms: u64) {
+    pub fn extend(&mut self, until_ms: u64, now_ms: u64) {
         let longest = self.clock_ms(now_ms) + MAX_LEASE_MS;
         self.lease_until_ms = self.lease_until_ms.max(until_ms.min(longest));
     }
 
-    fn is_at_work(&self, now_ms: u64) -> bool {
+    pub fn is_at_work(&self, now_ms: u64) -> bool {
         self.running.is_some() && self.clock_ms(now_ms) < self.lease_until_ms
     }
 
-    fn hold(&mut self, order: &Hold, token: u64, now_ms: u64) -> Result<Listing, Failure> {
+    pub fn hold(&mut self, order: &Hold, token: u64, now_ms: u64) -> Result<Listing, Failure> {
         if token < self.token {
             return Err(Failure::Refused(Refusal::Fenced));
         }
@@ -79,7 +75,12 @@
         })
     }
 
-    fn start(&mut self, order: &Start, token: u64, now_ms: u64) -> Result<Option<u64>, Failure> {
+    pub fn start(
+        &mut self,
+        order: &Start,
+        token: u64,
+        now_ms: u64,
+    ) -> Result<Option<u64>, Failure> {
         if token < self.token {
             return Err(Failure::Refused(Refusal::Fenced));
         }
@@ -91,33 +92,33 @@
 }
 
 /// A call to `a` that had no answer.
-enum Call {
+pub enum Call {
     Hold(Hold),
     Start(Start),
 }
 
 /// A leader, upstream `a`, and upstream `b`, which is full with other work.
-struct Scene {
-    registry: Registry,
-    engine: Engine,
-    term: u64,
-    origin: Instant,
-    now_ms: u64,
-    node: Node,
+pub struct Scene {
+    pub registry: Registry,
+    pub engine: Engine,
+    pub term: u64,
+    pub origin: Instant,
+    pub now_ms: u64,
+    pub node: Node,
     /// Whether calls reach `a`.
-    is_reachable: bool,
-    events: Vec<Event>,
+    pub is_reachable: bool,
+    pub events: Vec<Event>,
     /// The latest call to `a` without an answer, with its token.
-    unanswered: Option<(Call, u64)>,
+    pub unanswered: Option<(Call, u64)>,
     /// Tokens of the calls to `a` since its incarnation began.
-    tokens: Vec<u64>,
+    pub tokens: Vec<u64>,
     /// When the leader took the run on `a` to be over because of its lease.
-    lapsed_ms: Option<u64>,
+    pub lapsed_ms: Option<u64>,
 }
 
 impl Scene {
     /// A scene in which `a` runs the sweep job.
-    fn new() -> Scene {
+    pub fn new() -> Scene {
         let origin = Instant::now();
         let mut scene = Scene {
             registry: registry(),
@@ -142,7 +143,7 @@
         scene
     }
 
-    fn run_until(&mut self, end_ms: u64) {
+    pub fn run_until(&mut self, end_ms: u64) {
         while self.now_ms < end_ms {
             if self.now_ms.is_multiple_of(1000) {
                 self.beat();
@@ -158,7 +159,7 @@
         }
     }
 
-    fn beat(&mut self) {
+    pub fn beat(&mut self) {
         let mut beating = vec![("b", 1, self.now_ms)];
         if self.is_reachable {
             let node = &self.node;
@@ -173,7 +174,7 @@
         }
     }
 
-    fn carry_out(&mut self, effect: Effect) {
+    pub fn carry_out(&mut self, effect: Effect) {
         let now_ms = self.now_ms;
         let lost = || Failure::NoAnswer("cut off".into());
         let event = match effect {
@@ -225,7 +226,7 @@
         self.events.push(event);
     }
 
-    fn listing_of_other(&self) -> Listing {
+    pub fn listing_of_other(&self) -> Listing {
         let other = "b".into();
         let running = self.registry.allocations_on(&other);
         let running = running.map(|((task, run), _)| Running {
@@ -242,13 +243,13 @@
         }
     }
 
-    fn token(&mut self, target: &Target) -> u64 {
+    pub fn token(&mut self, target: &Target) -> u64 {
         let token = self.term + target.token_offset;
         self.tokens.push(token);
         token
     }
 
-    fn commit(&mut self, proposal: u64, steps: Vec<Update>) -> Event {
+    pub fn commit(&mut self, proposal: u64, steps: Vec<Update>) -> Event {
         let is_lapsed = |update: &Update| matches!(update, Update::Void { task, reason: Void::Lapsed, .. } if *task == sweep_task());
         if steps.iter().any(is_lapsed) {
             self.lapsed_ms.get_or_insert(self.now_ms);
@@ -261,13 +262,13 @@
     }
 
     /// Ends the incarnation of `a` without a last message.
-    fn crash(&mut self) {
+    pub fn crash(&mut self) {
         self.is_reachable = false;
         self.node.running = None;
     }
 
     /// Begins the next incarnation of `a` and registers it.
-    fn restart(&mut self) {
+    pub fn restart(&mut self) {
         self.is_reachable = true;
         self.tokens.clear();
         self.node = Node {
@@ -287,7 +288,7 @@
     }
 
     /// Replaces the leader; the next one has a higher term.
-    fn replace_leader(&mut self) {
+    pub fn replace_leader(&mut self) {
         self.events.clear();
         self.term += 1 << 32;
         let now = self.origin + Duration::from_millis(self.now_ms);
@@ -295,7 +296,7 @@
     }
 
     /// Carries out a call to `a` that has had no answer.
-    fn carry_out_late(&mut self, (call, token): (Call, u64)) {
+    pub fn carry_out_late(&mut self, (call, token): (Call, u64)) {
         match call {
             Call::Hold(order) => drop(self.node.hold(&order, token, self.now_ms)),
             Call::Start(order) => drop(self.node.start(&order, token, self.now_ms)),
@@ -303,7 +304,7 @@
     }
 
     /// Runs until the leader takes the run on `a` to be over; fails if it is still at work then.
-    fn assert_over_once_given_up(&mut self) {
+    pub fn assert_over_once_given_up(&mut self) {
         while self.lapsed_ms.is_none() {
             assert!(self.now_ms < 60_000, "the run is never given up");
             self.run_until(self.now_ms + STEP_MS);
@@ -316,137 +317,3 @@
         );
     }
 }
-
-/// Guards against a task that starts elsewhere while its run is at work: a hold for the earlier incarnation, on whose clock
-/// its lease ended far in the future, was carried out by the next one, behind a cut, and gave it the longest lease.
-#[test]
-fn a_late_hold_for_an_earlier_incarnation_gives_no_lease() {
-    let mut scene = Scene::new();
-    scene.run_until(CRASH_MS);
-    scene.crash();
-    scene.run_until(RESTART_MS);
-    let late = scene.unanswered.take().expect("a hold was under way");
-    scene.restart();
-    scene.run_until(CUT_MS);
-    assert!(scene.node.running.is_some(), "the task is started again");
-    scene.is_reachable = false;
-    scene.run_until(LATE_MS);
-    scene.carry_out_late(late);
-    scene.assert_over_once_given_up();
-    assert!(
-        scene.now_ms < CUT_MS + 8000,
-        "given up at {} ms",
-        scene.now_ms
-    );
-}
-
-/// Guards against orders to an earlier incarnation that the next one cannot tell from its own, such as a hold that releases
-/// ends: the numbers of ends begin again with each incarnation.
-#[test]
-fn each_incarnation_gets_a_higher_token() {
-    let mut scene = Scene::new();
-    scene.run_until(CRASH_MS);
-    let mut highest = 0;
-    for _ in 0..3 {
-        let least = scene.tokens.iter().copied().min().expect("calls were sent");
-        assert!(least > highest, "{least} after {highest}");
-        highest = scene.tokens.iter().copied().max().expect("calls were sent");
-        scene.crash();
-        scene.run_until(scene.now_ms + 600);
-        scene.restart();
-        scene.run_until(scene.now_ms + 2000);
-    }
-}
-
-/// Guards against an upstream that refuses the leader's calls for good, because an incarnation that the leader has forgotten
-/// had a higher token.
-#[test]
-fn an_upstream_with_a_higher_token_of_the_same_term_is_reached() {
-    let mut scene = Scene::new();
-    scene.node.token = scene.term + 1;
-    scene.tokens.clear();
-    scene.run_until(CRASH_MS);
-    let highest = scene.tokens.iter().copied().max();
-    assert!(highest > Some(scene.term + 1), "{highest:?}");
-    assert!(scene.tokens.iter().all(|token| token >> 32 == 7));
-    scene.run_until(30_000);
-    assert_eq!(scene.lapsed_ms, None);
-}
-
-/// Guards against a new leader that takes a run for over while it is at work: the start was sent to the earlier incarnation
-/// and is carried out by the next one, which this leader cannot reach.
-#[test]
-fn a_new_leader_waits_for_late_calls_to_an_earlier_incarnation() {
-    let mut scene = Scene::new();
-    scene.run_until(CRASH_MS);
-    scene.crash();
-    // The earlier leader has begun another run and has sent its start.
-    scene.registry.apply(Command::Progress {
-        at_ms: EPOCH_MS + CRASH_MS,
-        steps: vec![
-            Update::Void {
-                task: sweep_task(),
-                run: 1,
-                reason: Void::Absent,
-                checkpoint: String::new(),
-                blame: work::registry::Blame::None,
-            },
-            Update::Assign(vec![Placement {
-                task: sweep_task(),
-                upstream: "a".into(),
-                born_ms: 1,
-            }]),
-        ],
-    });
-    let job = scene.registry.job(sweep_task().job);
-    let start = Start {
-        task: sweep_task(),
-        run: 2,
-        definition: job.expect("the job is known").form.clone(),
-        lease_until_ms: FIRST_CLOCK_MS + CRASH_MS + MAX_LEASE_MS,
-        checkpoint: String::new(),
-        ticket: None,
-    };
-    let late = (Call::Start(start), scene.term);
-    scene.now_ms = RESTART_MS;
-    scene.restart();
-    scene.is_reachable = false;
-    scene.replace_leader();
-    scene.run_until(LATE_MS);
-    scene.carry_out_late(late);
-    scene.assert_over_once_given_up();
-}
-
-/// Guards against leases that are computed from the clock of an earlier incarnation.
-#[test]
-fn an_answer_of_an_earlier_incarnation_tells_nothing_of_the_clock() {
-    let mut scene = Scene::new();
-    scene.node.running = None;
-    let mut late = None;
-    while late.is_none() {
-        assert!(scene.now_ms < CRASH_MS, "the task is never started again");
-        scene.run_until(scene.now_ms + STEP_MS);
-        // Takes the answer to the start out of the queue.
-        let is_start = |event: &Event| matches!(event, Event::StartAnswered { answer: Ok(Some(clock_ms)), .. } if *clock_ms >= FIRST_CLOCK_MS);
-        if let Some(index) = scene.events.iter().position(is_start) {
-            late = Some(scene.events.remove(index));
-        }
-    }
-    scene.crash();
-    scene.run_until(scene.now_ms + 100);
-    scene.restart();
-    scene.run_until(scene.now_ms + 200);
-    scene.events.extend(late);
-    scene.run_until(scene.now_ms + 2000);
-    scene.is_reachable = false;
-    scene.run_until(scene.now_ms + 2000);
-    let Some((Call::Hold(hold), _)) = scene.unanswered else {
-        panic!("no hold is under way");
-    };
-    let until_ms = hold.lease_until_ms.expect("a lease");
-    let clock_ms = scene.node.clock_ms(scene.now_ms);
-    assert!(
-        until_ms <= clock_ms + MAX_LEASE_MS,
-        "a lease until {until_ms} at {clock_ms}"
-    );
-}
