daemon: let upstreams of the soak start again under their ids, red

Until now no upstream of the soak ever started again, and no call met another incarnation. Now they crash and start again under their ids, with a new clock, no token and ends from 1, once or twice in a row, also behind a cut; 30 to 90 percent of the calls to them go without an answer and are carried out 0.1 to 12 s later by whichever incarnation is there then; tasks take 8 s, longer than a lease; control instances are killed or stand still meanwhile.

--- a/crates/daemon/tests/soak/caller.rs
+++ b/crates/daemon/tests/soak/caller.rs
@@ -1,9 +1,10 @@
 use {
-    super::{exchange, judge::Judge},
+    super::{exchange, judge::Judge, upstream::LONG},
     rand::{RngExt, SeedableRng, rngs::StdRng},
     serde_json::json,
     std::{
         net::SocketAddr,
+        ops::Range,
         sync::Arc,
         thread::{self, JoinHandle},
         time::{Duration, Instant},
@@ -20,6 +21,43 @@
 pub const HEADERS: &str =
     "Host: jobs.example\r\nAuthorization: Bearer key\r\nDeadline-Ms: 3000\r\n";
 
+/// What callers hand in.
+#[derive(Clone, Copy, Debug)]
+pub enum Work {
+    /// Many short jobs of two steps.
+    Short,
+    /// Jobs of tasks that take longer than a lease.
+    Long,
+}
+
+impl Work {
+    fn draw(self, rng: &mut StdRng) -> serde_json::Value {
+        match self {
+            Work::Short => json!({
+                "spec": "work",
+                "steps": [
+                    {"count": rng.random_range(1..4), "cpu": 500, "memMb": 10, "gpu": 1, "estimateMs": 400},
+                    {"count": 1, "cpu": 500, "memMb": 10, "gpu": 1, "estimateMs": 400, "after": [0]},
+                ],
+            }),
+            Work::Long => json!({
+                "spec": LONG,
+                "steps": [
+                    {"count": rng.random_range(1..3), "cpu": 500, "memMb": 10, "gpu": 1, "estimateMs": 8000},
+                ],
+            }),
+        }
+    }
+
+    /// Pause between two jobs of a caller, in milliseconds.
+    fn pause_ms(self) -> Range<u64> {
+        match self {
+            Work::Short => 20..300,
+            Work::Long => 300..2500,
+        }
+    }
+}
+
 /// Callers that hand in jobs.
 pub struct Callers {
     threads: Vec<JoinHandle<Vec<String>>>,
@@ -31,12 +69,13 @@
         fronts: &[SocketAddr],
         judge: &Arc<Judge>,
         length: Duration,
+        work: Work,
         rng: &mut StdRng,
     ) -> Callers {
         let threads = (0..4).map(|number| {
             let (fronts, judge) = (fronts.to_vec(), judge.clone());
             let mut rng = StdRng::seed_from_u64(rng.random());
-            thread::spawn(move || call(number, &fronts, &judge, length, &mut rng))
+            thread::spawn(move || call(number, &fronts, &judge, length, work, &mut rng))
         });
         Callers {
             threads: threads.collect(),
@@ -55,19 +94,14 @@
     fronts: &[SocketAddr],
     judge: &Judge,
     length: Duration,
+    work: Work,
     rng: &mut StdRng,
 ) -> Vec<String> {
     let end = Instant::now() + length;
     let mut accepted = Vec::new();
     while Instant::now() < end {
         let job = format!("{:016x}", rng.random::<u64>());
-        let body = json!({
-            "spec": "work",
-            "steps": [
-                {"count": rng.random_range(1..4), "cpu": 500, "memMb": 10, "gpu": 1, "estimateMs": 400},
-                {"count": 1, "cpu": 500, "memMb": 10, "gpu": 1, "estimateMs": 400, "after": [0]},
-            ],
-        });
+        let body = work.draw(rng);
         judge.submitted(&job);
         for attempt in 0..TRIES {
             let front = fronts[(number + attempt) % fronts.len()];
@@ -79,7 +113,7 @@
             }
             thread::sleep(Duration::from_millis(rng.random_range(50..400)));
         }
-        thread::sleep(Duration::from_millis(rng.random_range(20..300)));
+        thread::sleep(Duration::from_millis(rng.random_range(work.pause_ms())));
     }
     accepted
 }
--- a/crates/daemon/tests/soak/cluster.rs
+++ b/crates/daemon/tests/soak/cluster.rs
@@ -1,10 +1,10 @@
 use {
     super::{
-        caller::{Callers, HEADERS},
+        caller::{Callers, HEADERS, Work},
         exchange,
         judge::Judge,
         proxy::{Proxy, Weather},
-        upstream::{LEASE_MS, Upstream},
+        upstream::{LEASE_MS, Link, Upstream},
     },
     rand::rngs::StdRng,
     rustix::process::{Pid, Signal, kill_process},
@@ -28,6 +28,11 @@
 const ENTRIES: usize = 2;
 const UPSTREAMS: usize = 4;
 
+/// By how many different times the time of day of the upstreams is behind, depending on the seed, and their distance in
+/// seconds.
+const CLOCKS: u64 = 3;
+const CLOCK_STEP_S: u64 = 6;
+
 /// Ports of all instances; each has an address of its own on loopback.
 const CONTROL_PORT: u16 = 18_526;
 const FRONT_PORT: u16 = 18_521;
@@ -109,7 +114,7 @@
 pub struct Cluster {
     pub controls: Vec<Node>,
     pub entries: Vec<Node>,
-    pub upstreams: Vec<Proxy>,
+    pub upstreams: Vec<Link>,
     pub fronts: Vec<Proxy>,
     pub version: u64,
     /// The evacuated zone.
@@ -165,8 +170,9 @@
             .collect();
         let judge = Arc::new(Judge::default());
         let over = Arc::new(AtomicBool::new(false));
+        let behind = Duration::from_secs(seed % CLOCKS * CLOCK_STEP_S);
         let upstreams =
-            (0..UPSTREAMS).map(|number| Upstream::spawn(number, &operators, &judge, &over));
+            (0..UPSTREAMS).map(|number| Upstream::spawn(number, behind, &operators, &judge, &over));
         Cluster {
             upstreams: upstreams.collect::<Vec<_>>(),
             fronts: (CONTROLS..CONTROLS + ENTRIES)
@@ -263,14 +269,18 @@
         }
     }
 
-    pub fn call_for(&self, length: Duration, rng: &mut StdRng) -> Callers {
+    pub fn call_for(&self, length: Duration, work: Work, rng: &mut StdRng) -> Callers {
         let fronts: Vec<SocketAddr> = self.fronts.iter().map(|proxy| proxy.address).collect();
-        Callers::spawn(&fronts, &self.judge, length, rng)
+        Callers::spawn(&fronts, &self.judge, length, work, rng)
     }
 
     /// Ends all faults.
     pub fn mend(&mut self) {
-        for proxy in self.upstreams.iter().chain(&self.fronts) {
+        for link in &self.upstreams {
+            link.upstream.set_heard(true);
+        }
+        let upstreams = self.upstreams.iter().map(|link| &link.proxy);
+        for proxy in upstreams.chain(&self.fronts) {
             proxy.set(Weather::Clear);
         }
         for node in self.controls.iter_mut().chain(&mut self.entries) {
--- a/crates/daemon/tests/soak/exchange.rs
+++ b/crates/daemon/tests/soak/exchange.rs
@@ -1,6 +1,6 @@
 use std::{
     io::{self, BufRead, BufReader, Write},
-    net::{SocketAddr, TcpListener, TcpStream},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::Arc,
     thread,
     time::Duration,
@@ -65,10 +65,10 @@
     read(&mut BufReader::new(stream))
 }
 
-/// Answers requests until the process ends; the answer is a status and a body.
+/// Answers requests until the process ends; the answer is a status and a body. Without an answer the connection ends.
 pub fn serve(
     address: SocketAddr,
-    answer: impl Fn(&Message) -> (u16, String) + Send + Sync + 'static,
+    answer: impl Fn(&Message) -> Option<(u16, String)> + Send + Sync + 'static,
 ) -> SocketAddr {
     let listener = TcpListener::bind(address).unwrap();
     let address = listener.local_addr().unwrap();
@@ -82,12 +82,17 @@
     address
 }
 
-fn converse(stream: &TcpStream, answer: &dyn Fn(&Message) -> (u16, String)) -> io::Result<()> {
+fn converse(
+    stream: &TcpStream,
+    answer: &dyn Fn(&Message) -> Option<(u16, String)>,
+) -> io::Result<()> {
     let mut reader = BufReader::new(stream);
     let mut writer = stream;
     loop {
         let request = read(&mut reader)?;
-        let (status, body) = answer(&request);
+        let Some((status, body)) = answer(&request) else {
+            return stream.shutdown(Shutdown::Both);
+        };
         let length = body.len();
         write!(
             writer,
--- a/crates/daemon/tests/soak/fault.rs
+++ b/crates/daemon/tests/soak/fault.rs
@@ -1,7 +1,9 @@
 use {
     super::{
         cluster::{CONTROLS, Cluster},
+        judge::ZONE,
         proxy::Weather,
+        upstream::Link,
     },
     rand::{RngExt, rngs::StdRng},
     rustix::process::Signal,
@@ -37,7 +39,7 @@
             let entry = rng.random_range(0..cluster.entries.len());
             cluster.entries[entry].end(Signal::KILL);
         }
-        6 => cluster.upstreams[upstream].set(weather(rng)),
+        6 => cluster.upstreams[upstream].proxy.set(weather(rng)),
         7 => {
             let front = rng.random_range(0..cluster.fronts.len());
             cluster.fronts[front].set(weather(rng));
@@ -56,6 +58,67 @@
     thread::sleep(pause);
 }
 
+/// Longest time for which an upstream is down between two incarnations, in milliseconds.
+const MAX_DOWN_MS: u64 = 800;
+
+/// Lets the upstreams of a zone start again under their ids, once or several times, while calls to them are carried out
+/// late, and cuts them off soon after; they may start again behind the cut. Control instances are killed or stand still
+/// meanwhile.
+pub fn restart_zone(cluster: &mut Cluster, rng: &mut StdRng) {
+    let pause = |ms| thread::sleep(Duration::from_millis(ms));
+    let zone = rng.random_range(0..cluster.upstreams.len() / ZONE) * ZONE;
+    let zone = zone..zone + ZONE;
+    let late_percent = rng.random_range(30..90);
+    for link in &cluster.upstreams[zone.clone()] {
+        link.upstream.delay_calls(late_percent);
+    }
+    pause(rng.random_range(500..3000));
+    for _ in 0..rng.random_range(0..3) {
+        restart(&cluster.upstreams[zone.clone()], Weather::Clear, rng);
+        let (first, second) = two(rng);
+        match rng.random_range(0..6) {
+            0 => cluster.controls[first].end(Signal::KILL),
+            1 => {
+                cluster.controls[first].end(Signal::KILL);
+                cluster.controls[second].signal(Signal::STOP);
+            }
+            _ => {}
+        }
+        pause(rng.random_range(50..2500));
+    }
+    let cut = match rng.random_range(0..2) {
+        0 => Weather::CutThere,
+        _ => Weather::CutBack,
+    };
+    for link in &cluster.upstreams[zone.clone()] {
+        link.upstream.set_heard(false);
+        link.proxy.set(cut);
+    }
+    pause(rng.random_range(200..3000));
+    if rng.random_bool(0.7) {
+        restart(&cluster.upstreams[zone.clone()], cut, rng);
+    }
+    for link in &cluster.upstreams[zone] {
+        link.upstream.delay_calls(0);
+    }
+    pause(rng.random_range(3000..9000));
+    cluster.mend();
+    pause(rng.random_range(500..2000));
+}
+
+/// Lets upstreams start again under their ids; later connections to them fare as `weather` says.
+fn restart(upstreams: &[Link], weather: Weather, rng: &mut StdRng) {
+    for link in upstreams {
+        link.proxy.set(Weather::Resets);
+        link.upstream.crash();
+    }
+    thread::sleep(Duration::from_millis(rng.random_range(100..MAX_DOWN_MS)));
+    for link in upstreams {
+        link.proxy.set(weather);
+        link.upstream.restart();
+    }
+}
+
 fn two(rng: &mut StdRng) -> (usize, usize) {
     let first = rng.random_range(0..CONTROLS);
     (first, (first + rng.random_range(1..CONTROLS)) % CONTROLS)
--- a/crates/daemon/tests/soak/judge.rs
+++ b/crates/daemon/tests/soak/judge.rs
@@ -10,6 +10,15 @@
 /// Time after the acknowledged evacuation of a zone within which a start may still arrive there.
 const EVACUATE: Duration = Duration::from_secs(5);
 
+/// A start that an upstream has carried out.
+#[derive(Clone, Copy, Debug)]
+pub struct Start {
+    /// Whether the upstream has room for it.
+    pub fits: bool,
+    /// Whether it was carried out long after it was sent.
+    pub is_late: bool,
+}
+
 /// What upstreams and callers have seen, checked against the promises.
 #[derive(Debug, Default)]
 pub struct Judge {
@@ -48,18 +57,19 @@
     }
 
     /// An upstream begins a run.
-    pub fn begun(&self, upstream: usize, task: &str, fits: bool) {
+    pub fn begun(&self, upstream: usize, task: &str, start: Start) {
         let mut seen = self.seen();
         let job = task.split('.').next().unwrap_or_default();
         if !seen.submitted.contains(job) {
             seen.breaches.push(format!("{task} was not asked for"));
         }
-        if !fits {
+        if !start.fits {
             seen.breaches
                 .push(format!("{task} overfills upstream {upstream}"));
         }
         if let Some((zone, at)) = seen.evacuated
             && upstream / ZONE == zone
+            && !start.is_late
             && at.elapsed() > EVACUATE
         {
             seen.breaches
--- a/crates/daemon/tests/soak/main.rs
+++ b/crates/daemon/tests/soak/main.rs
@@ -19,6 +19,7 @@
 mod upstream;
 
 use {
+    caller::Work,
     cluster::Cluster,
     rand::{RngExt, SeedableRng, rngs::StdRng},
     std::{
@@ -57,20 +58,28 @@
 #[test]
 fn the_judge_finds_planted_breaches() {
     let judge = judge::Judge::default();
+    let start = judge::Start {
+        fits: true,
+        is_late: false,
+    };
+    let overfull = judge::Start {
+        fits: false,
+        ..start
+    };
     judge.submitted("a");
-    judge.begun(0, "a.0.0.0", true);
+    judge.begun(0, "a.0.0.0", start);
     assert_eq!(judge.breaches().len(), 0);
-    judge.begun(1, "a.0.0.0", true);
+    judge.begun(1, "a.0.0.0", start);
     judge.over(0, "a.0.0.0");
     judge.over(1, "a.0.0.0");
     judge.noted("a.0.0.0");
-    judge.begun(1, "a.0.0.0", false);
-    judge.begun(2, "b.0.0.0", true);
+    judge.begun(1, "a.0.0.0", overfull);
+    judge.begun(2, "b.0.0.0", start);
     let long_ago = Instant::now().checked_sub(Duration::from_secs(9));
     judge.evacuated(long_ago.map(|at| (1, at)));
     judge.submitted("c");
-    judge.begun(0, "c.0.0.0", true);
-    judge.begun(3, "c.0.0.1", true);
+    judge.begun(0, "c.0.0.0", start);
+    judge.begun(3, "c.0.0.1", start);
     let expected = [
         "a.0.0.0 runs on {0, 1}",
         "a.0.0.0 overfills upstream 1",
@@ -84,6 +93,19 @@
 /// Guards against promises broken by faults in series that the model does not know: real sockets, signals and disks.
 #[test]
 fn promises_hold_under_faults_from_outside() {
+    let failed = failed_seeds(|seed| play(seed, Work::Short, fault::strike));
+    assert!(failed.is_empty(), "{failed:#?}");
+}
+
+/// Guards against tasks on two upstreams at once: an upstream starts again under its id, carries out calls to its earlier
+/// incarnation, and is cut off.
+#[test]
+fn nothing_runs_twice_when_upstreams_start_again_under_their_ids() {
+    let failed = failed_seeds(|seed| play(seed, Work::Long, fault::restart_zone));
+    assert!(failed.is_empty(), "{failed:#?}");
+}
+
+fn failed_seeds(play: impl Fn(u64) -> Vec<String>) -> Vec<(u64, Vec<String>)> {
     let mut failed = Vec::new();
     for seed in seeds() {
         let breaches = play(seed);
@@ -92,17 +114,17 @@
             failed.push((seed, breaches));
         }
     }
-    assert!(failed.is_empty(), "{failed:#?}");
+    failed
 }
 
-fn play(seed: u64) -> Vec<String> {
+fn play(seed: u64, work: Work, strike: impl Fn(&mut Cluster, &mut StdRng)) -> Vec<String> {
     let mut rng = StdRng::seed_from_u64(seed);
     let mut cluster = Cluster::start(seed);
     cluster.configure();
-    let callers = cluster.call_for(Duration::from_secs(seconds()), &mut rng);
+    let callers = cluster.call_for(Duration::from_secs(seconds()), work, &mut rng);
     let end = Instant::now() + Duration::from_secs(seconds());
     while Instant::now() < end {
-        fault::strike(&mut cluster, &mut rng);
+        strike(&mut cluster, &mut rng);
         thread::sleep(Duration::from_millis(rng.random_range(100..2500)));
     }
     cluster.mend();
--- a/crates/daemon/tests/soak/upstream.rs
+++ b/crates/daemon/tests/soak/upstream.rs
@@ -1,17 +1,18 @@
 use {
     super::{
         exchange::{self, Message},
-        judge::{Judge, ZONE},
+        judge::{self, Judge, ZONE},
         proxy::Proxy,
     },
     plan::engine::{Hold, Refusal, Start, Stop},
+    rand::{RngExt, SeedableRng, rngs::StdRng},
     serde_json::{Value, json},
     sim::Upstream as Model,
     std::{
         net::SocketAddr,
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
-            atomic::{AtomicBool, Ordering},
+            atomic::{AtomicBool, AtomicU64, Ordering},
         },
         thread,
         time::{Duration, Instant, SystemTime, UNIX_EPOCH},
@@ -25,6 +26,15 @@
 /// Work of a task in milliseconds.
 const WORK_MS: f64 = 400.0;
 
+/// Work of a task of a job with the text [`LONG`], in milliseconds: longer than a lease.
+const LONG_WORK_MS: f64 = 8000.0;
+
+/// Text of the jobs with long tasks.
+pub const LONG: &str = "long";
+
+/// Longest delay of a call that is carried out late, in milliseconds, as the platform documents it.
+const MAX_DELAY_MS: u64 = 12_000;
+
 /// Room of an upstream and of a task.
 const CAPACITY: i64 = 4;
 
@@ -34,32 +44,47 @@
 /// A stand-in upstream: the model of `sim` on real time, behind a proxy.
 pub struct Upstream {
     number: usize,
-    born_ms: u64,
-    start: Instant,
+    origin: Instant,
     model: Mutex<Model>,
     sequence: Mutex<u64>,
+    is_up: AtomicBool,
+    /// Whether its heartbeats reach the instances.
+    is_heard: AtomicBool,
+    /// Share of the calls that get no answer and are carried out late, in percent.
+    late_percent: AtomicU64,
+    /// Time by which its time of day is behind that of the instances.
+    behind: Duration,
+    rng: Mutex<StdRng>,
     judge: Arc<Judge>,
 }
 
+/// An upstream and the proxy through which it is reached.
+pub struct Link {
+    pub upstream: Arc<Upstream>,
+    pub proxy: Proxy,
+}
+
 impl Upstream {
-    /// Starts an upstream that announces itself to the control instances.
+    /// Starts an upstream that announces itself to the control instances. Its time of day is behind theirs.
     pub fn spawn(
         number: usize,
+        behind: Duration,
         controls: &[SocketAddr],
         judge: &Arc<Judge>,
         over: &Arc<AtomicBool>,
-    ) -> Proxy {
-        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    ) -> Link {
+        let mut model = Model::new(format!("u{number}").as_str().into(), 1.0, LEASE_MS);
+        model.born_ms = unix_ms(behind);
         let upstream = Arc::new(Upstream {
             number,
-            born_ms: since_epoch.as_millis() as u64,
-            start: Instant::now(),
-            model: Mutex::new(Model::new(
-                format!("u{number}").as_str().into(),
-                1.0,
-                LEASE_MS,
-            )),
+            origin: Instant::now(),
+            model: Mutex::new(model),
             sequence: Mutex::new(0),
+            is_up: AtomicBool::new(true),
+            is_heard: AtomicBool::new(true),
+            late_percent: AtomicU64::new(0),
+            behind,
+            rng: Mutex::new(StdRng::seed_from_u64(number as u64)),
             judge: judge.clone(),
         });
         let server = upstream.clone();
@@ -70,6 +95,7 @@
         let controls = controls.to_vec();
         let (ticking, announcing) = (over.clone(), over.clone());
         let (ticker, announced) = (upstream.clone(), proxy.address);
+        let announcer = upstream.clone();
         thread::spawn(move || {
             while !ticking.load(Ordering::Relaxed) {
                 ticker.end_due();
@@ -81,11 +107,51 @@
                 if announcing.load(Ordering::Relaxed) {
                     return;
                 }
-                upstream.announce(controls[turn % controls.len()], announced);
+                if announcer.is_up.load(Ordering::Relaxed)
+                    && announcer.is_heard.load(Ordering::Relaxed)
+                {
+                    announcer.announce(controls[turn % controls.len()], announced);
+                }
                 thread::sleep(HEARTBEAT);
             }
         });
-        proxy
+        Link { upstream, proxy }
+    }
+
+    /// Lets this share of the calls go without an answer and be carried out late, even by a later incarnation.
+    pub fn delay_calls(&self, percent: u64) {
+        self.late_percent.store(percent, Ordering::Relaxed);
+    }
+
+    /// Lets its heartbeats reach the instances, or not.
+    pub fn set_heard(&self, is_heard: bool) {
+        self.is_heard.store(is_heard, Ordering::Relaxed);
+    }
+
+    /// Ends the incarnation with all that it runs.
+    pub fn crash(&self) {
+        let mut model = self.model();
+        self.is_up.store(false, Ordering::Relaxed);
+        for (task, _) in model.reborn(self.now_ms()) {
+            self.judge.over(self.number, &task.to_string());
+        }
+    }
+
+    /// Begins the next incarnation, with a new clock.
+    pub fn restart(&self) {
+        let mut model = self.model();
+        model.reborn(self.now_ms());
+        model.born_ms = unix_ms(self.behind);
+        *self.sequence() = 0;
+        self.is_up.store(true, Ordering::Relaxed);
+    }
+
+    fn sequence(&self) -> MutexGuard<'_, u64> {
+        self.sequence.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn rng(&self) -> MutexGuard<'_, StdRng> {
+        self.rng.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn model(&self) -> MutexGuard<'_, Model> {
@@ -93,18 +159,22 @@
     }
 
     fn now_ms(&self) -> f64 {
-        self.start.elapsed().as_secs_f64() * 1000.0
+        self.origin.elapsed().as_secs_f64() * 1000.0
     }
 
     fn announce(&self, control: SocketAddr, address: SocketAddr) {
-        let mut sequence = self.sequence.lock().unwrap_or_else(PoisonError::into_inner);
-        *sequence += 1;
+        let (born_ms, clock_ms, sequence) = {
+            let model = self.model();
+            let mut sequence = self.sequence();
+            *sequence += 1;
+            (model.born_ms, model.clock_ms(self.now_ms()), *sequence)
+        };
         let body = json!({
             "service": "pool", "address": address.to_string(), "zone": format!("z{}", self.number / ZONE), "version": "v1", "slots": 4,
             "state": "ready", "coldRemainingMs": 0,
             "capacity": {"cpu": CAPACITY * 1000, "memMb": 1000, "gpu": CAPACITY},
-            "labels": ["a", format!("r{}", self.number / 2)], "clockMs": self.now_ms() as u64,
-            "sequence": *sequence, "born": self.born_ms,
+            "labels": ["a", format!("r{}", self.number / 2)], "clockMs": clock_ms,
+            "sequence": sequence, "born": born_ms,
         });
         let request = format!("POST /Instances.Heartbeat/u{}", self.number);
         // The next heartbeat goes to another instance.
@@ -117,12 +187,32 @@
         ));
     }
 
-    fn answer(&self, request: &Message) -> (u16, String) {
+    /// Answers a call, if it is answered.
+    fn answer(&self, request: &Message) -> Option<(u16, String)> {
+        let percent = self.late_percent.load(Ordering::Relaxed);
+        let delay_ms = {
+            let mut rng = self.rng();
+            let is_late = rng.random_range(0..100) < percent;
+            is_late.then(|| rng.random_range(100..MAX_DELAY_MS))
+        };
+        if let Some(delay_ms) = delay_ms {
+            thread::sleep(Duration::from_millis(delay_ms));
+            while !self.is_up.load(Ordering::Relaxed) {
+                thread::sleep(Duration::from_millis(10));
+            }
+        }
+        let is_up = self.is_up.load(Ordering::Relaxed);
+        let answer = is_up.then(|| self.carry_out(request, delay_ms.is_some()))?;
+        answer.filter(|_| delay_ms.is_none())
+    }
+
+    /// Carries out a call; none if it ends with the incarnation.
+    fn carry_out(&self, request: &Message, is_late: bool) -> Option<(u16, String)> {
         let body: Value = serde_json::from_str(&request.body).unwrap_or_default();
         let token = body["fencingToken"].as_u64().unwrap_or(0);
         let path = request.start.split(' ').nth(1).unwrap_or_default();
         let result = match path {
-            "/run-start" => self.start(&body, token),
+            "/run-start" => self.start(&body, token, is_late),
             "/run-stop" => {
                 let stop = Stop {
                     task: name(&body).parse().unwrap(),
@@ -132,13 +222,13 @@
                 self.model().stop(stop, token, now_ms, 50.0)
             }
             "/hold" => return self.hold(&body, token),
-            _ => return (404, String::new()),
+            _ => return Some((404, String::new())),
         };
-        self.reply(result)
+        Some(self.reply(result))
     }
 
     fn reply(&self, result: Result<(), Refusal>) -> (u16, String) {
-        let clock = self.now_ms() as u64;
+        let clock = self.model().clock_ms(self.now_ms());
         match result {
             Ok(()) => (200, json!({ "clockMs": clock }).to_string()),
             Err(refusal) => {
@@ -155,7 +245,7 @@
         }
     }
 
-    fn start(&self, body: &Value, token: u64) -> Result<(), Refusal> {
+    fn start(&self, body: &Value, token: u64, is_late: bool) -> Result<(), Refusal> {
         let task: id::Task = name(body).parse().unwrap();
         let order = Start {
             task,
@@ -169,7 +259,10 @@
         let mut model = self.model();
         if model.start(&order, token, now_ms)? {
             let run = sim::Run {
-                work_ms: WORK_MS,
+                work_ms: match body["spec"].as_str() {
+                    Some(LONG) => LONG_WORK_MS,
+                    _ => WORK_MS,
+                },
                 done_ms: 0.0,
                 since_ms: Some(now_ms),
                 begun_ms: now_ms,
@@ -184,19 +277,20 @@
             };
             model.runs.insert((task, order.run), run);
             let fits = model.room().accelerators <= CAPACITY;
-            self.judge.begun(self.number, &task.to_string(), fits);
+            let start = judge::Start { fits, is_late };
+            self.judge.begun(self.number, &task.to_string(), start);
         }
         Ok(())
     }
 
-    fn hold(&self, body: &Value, token: u64) -> (u16, String) {
+    fn hold(&self, body: &Value, token: u64) -> Option<(u16, String)> {
         let last_end = body["lastSeen"].as_u64().unwrap_or(0);
         let order = Hold {
             lease_until_ms: body["deadlineMs"].as_u64(),
             last_end,
             wait: Duration::ZERO,
         };
-        let noted: Vec<String> = {
+        let (noted, born_ms): (Vec<String>, u64) = {
             let now_ms = self.now_ms();
             let mut model = self.model();
             let ends = model
@@ -206,9 +300,9 @@
             let noted = ends.map(|end| end.task.to_string()).collect();
             if let Err(refusal) = model.hold(&order, token, now_ms) {
                 drop(model);
-                return self.reply(Err(refusal));
+                return Some(self.reply(Err(refusal)));
             }
-            noted
+            (noted, model.born_ms)
         };
         for task in noted {
             self.judge.noted(&task);
@@ -218,6 +312,9 @@
             thread::sleep(Duration::from_millis(10));
         }
         let held = self.model().list(self.now_ms());
+        if held.born_ms != Some(born_ms) {
+            return None;
+        }
         let running: Vec<Value> = held
             .running
             .iter()
@@ -237,9 +334,9 @@
             })
             .collect();
         let answer = json!({
-            "clockMs": held.clock_ms, "born": self.born_ms, "runningTasks": running, "ended": ended,
+            "clockMs": held.clock_ms, "born": born_ms, "runningTasks": running, "ended": ended,
         });
-        (200, answer.to_string())
+        Some((200, answer.to_string()))
     }
 
     /// Ends what is done, stopped or without a lease.
@@ -266,6 +363,11 @@
     }
 }
 
+fn unix_ms(behind: Duration) -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    (since_epoch - behind).as_millis() as u64
+}
+
 fn name(body: &Value) -> &str {
     body["task"].as_str().unwrap_or_default()
 }
