plan: count the time for late calls by the steady clock

Callers saw tasks on two upstreams at once. A new leader allowed for calls to an earlier incarnation until 15 s after the next one had begun, and took the age of that one from the group's time of day less the upstream's start time.

The time now counts from when the leader learns of the incarnation, by its steady clock: no call to an earlier one is sent after that. Callers whose upstream started again before a change of the leader and can't be reached wait longer by the age of the incarnation, up to 15 s.

Elsewhere, read for the same cause: void_replaced compares start times of two upstreams at one address, register and the order of heartbeats those of two incarnations; each is the clock of one machine, and a wrong order delays what follows but gives up no run before its lease. Losses and occurrences compare times of the registry, where nothing but a wait hangs on them.

--- a/crates/plan/src/engine/session.rs
+++ b/crates/plan/src/engine/session.rs
@@ -77,13 +77,12 @@
 }
 
 impl Session {
-    /// A session with an incarnation that began `age` ago and has not answered yet. Earlier leaders may have given leases
-    /// until `now`.
+    /// A session with an incarnation that has not answered yet. Earlier leaders may have given leases until `now`.
     ///
-    /// Calls to an earlier incarnation may be carried out until [`LATE_CALL_LIMIT`] after it ended. Their leases end by its
-    /// clock, so the next incarnation, whose clock has begun anew, shortens them only to the longest one that it accepts.
-    pub fn new(born_ms: u64, age: Duration, now: Instant, settings: &Settings) -> Session {
-        let late_calls = LATE_CALL_LIMIT.saturating_sub(age);
+    /// Calls to an earlier incarnation may be carried out until [`LATE_CALL_LIMIT`] after the leader has learned of the next
+    /// one. Their leases end by its clock, so the next incarnation, whose clock has begun anew, shortens them only to the
+    /// longest one that it accepts.
+    pub fn new(born_ms: u64, now: Instant, settings: &Settings) -> Session {
         Session {
             born_ms,
             draining: false,
@@ -96,7 +95,7 @@
             may_need_hold: true,
             token_offset: 0,
             granted_until: now,
-            earlier_until: now + late_calls + expired_after(settings.max_lease),
+            earlier_until: now + LATE_CALL_LIMIT + expired_after(settings.max_lease),
             failures: 0,
             failed_at: now,
             lost_at: now,
--- a/crates/plan/src/engine/sync.rs
+++ b/crates/plan/src/engine/sync.rs
@@ -5,7 +5,6 @@
         session::Session,
         tracked_run::{Phase, TrackedRun},
     },
-    std::time::Duration,
     work::{
         collections::IndexSet,
         id,
@@ -125,8 +124,7 @@
                 None if self.removed.contains_key(&upstream.id) => self.next_token_offset(),
                 None => 0,
             };
-            let age = Duration::from_millis(self.time_ms.saturating_sub(upstream.born_ms));
-            let mut session = Session::new(upstream.born_ms, age, self.now, &self.settings);
+            let mut session = Session::new(upstream.born_ms, self.now, &self.settings);
             session.token_offset = token_offset;
             self.sessions.insert(upstream.id.clone(), session);
             self.health.shift_remove(&upstream.id);
