plan: give up no run while a start of it may still be carried out

A start without an answer may be carried out up to 12 s after it was sent, by whichever incarnation is there then, and the next one knows neither the token nor the stops that the earlier one had seen. The leader gave the run up - with the lease of the incarnation that it knew, although the upstream had started again behind a cut, and carried out a start that had no answer while a later try of the same run was answered; - with a stop that the upstream had confirmed, or with a list without the run, although the upstream crashed within the next seconds; - as a new leader, with the first list without the run: it knew nothing of the starts of its predecessor.

Cause: three places decided by rules of their own when a run is over, each for one incarnation. Now expiry.rs owns it: a run whose starts all have an answer ends with its incarnation or its lease, as before; one with an open start may begin again until 15 s after the wait for the answer ended, and then has the longest lease. A start counts as closed once it is answered or refused, or the upstream lists the run and it was the only one without an answer. Runs of jobs that have ended and of steps with copies don't wait.

Waits of callers, and why they stay short: the leader tells the followers once a second which starts are open (a further message between instances; earlier builds don't know it and ignore it). A new leader waits only for these and for what was assigned since; without the message it waits 15 s for all that it finds and can't see at work. If an upstream that can be reached doesn't list an inherited run, the same start is sent again, so the task waits for nothing.

Tests: incarnations/starts.rs.

Stored records are the same.

--- a/crates/dispatch/src/control/answer.rs
+++ b/crates/dispatch/src/control/answer.rs
@@ -30,8 +30,10 @@
     /// Answers a request if this instance leads.
     pub(super) async fn answer(&self, request: Request) -> Verdict {
         if self.shared.replica.leading_term().is_none() {
-            if let Request::Speeds(speeds) = request {
-                return self.remember_speeds(speeds);
+            match request {
+                Request::Speeds(speeds) => return self.remember_speeds(speeds),
+                Request::Starts(report) => return self.remember_starts(report),
+                _ => {}
             }
             let leader = self.shared.replica.leader();
             return Verdict::NotLeader(leader.filter(|leader| *leader != self.shared.id));
@@ -53,7 +55,7 @@
             } => Ok(self.handle_greeting(member, wall_ms, heard)),
             Request::Ping => Ok(self.members()),
             // The sender has led before this instance did.
-            Request::Speeds(_) => Ok(Reply::Done),
+            Request::Speeds(_) | Request::Starts(_) => Ok(Reply::Done),
             Request::DataCentres => self.list_data_centres().await,
             Request::Evacuate {
                 data_centre,
--- a/crates/dispatch/src/control/control.rs
+++ b/crates/dispatch/src/control/control.rs
@@ -1,7 +1,7 @@
 use {
     super::{Error, Replica, Setup, handler::Handler, membership},
     crate::{
-        leader::{Driver, Input, SpeedMemory},
+        leader::{Driver, Input, SpeedMemory, StartMemory},
         time::MedianClock,
     },
     gate::{
@@ -57,6 +57,7 @@
     pub acknowledged: Mutex<IndexMap<id::Upstream, u64>>,
     /// Speeds of upstreams that the latest leader has learned.
     pub speed_memory: Arc<Mutex<SpeedMemory>>,
+    pub start_memory: Arc<Mutex<StartMemory>>,
     pub inputs: mpsc::UnboundedSender<Input>,
 }
 
@@ -91,6 +92,7 @@
         client.targets().set_seeds(seeds);
         let median_clock = Arc::new(Mutex::new(MedianClock::new(clock.now())));
         let speed_memory = Arc::<Mutex<SpeedMemory>>::default();
+        let start_memory = Arc::<Mutex<StartMemory>>::default();
         let (inputs, events) = mpsc::unbounded_channel();
         let control = Control {
             shared: Arc::new(Shared {
@@ -106,6 +108,7 @@
                 sequences: Mutex::default(),
                 acknowledged: Mutex::default(),
                 speed_memory: speed_memory.clone(),
+                start_memory: start_memory.clone(),
                 inputs: inputs.clone(),
             }),
         };
@@ -116,6 +119,7 @@
             clock,
             median_clock,
             speed_memory,
+            start_memory,
             settings: setup.plan,
             inputs,
             observer: setup.observer,
--- a/crates/dispatch/src/control/membership.rs
+++ b/crates/dispatch/src/control/membership.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Control, speeds::Telling},
+    super::{Control, handover::Telling},
     gate::{Outcome, call::Request},
     quorum::Change,
     std::{sync::PoisonError, time::Duration},
@@ -9,8 +9,8 @@
 /// Timeout of a greeting.
 const GREETING_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// Keeps the replica open and this instance in the group: as leader it changes the members and tells them the speeds of
-/// upstreams, otherwise it sends greetings to the leader.
+/// Keeps the replica open and this instance in the group: as leader it changes the members and tells them what the
+/// next leader has to know, otherwise it sends greetings to the leader.
 pub(super) async fn run(control: Control) {
     let mut last = None;
     let mut telling = Telling::default();
--- a/crates/dispatch/src/control/mod.rs
+++ b/crates/dispatch/src/control/mod.rs
@@ -6,9 +6,9 @@
 mod evacuation;
 mod final_ends;
 mod handler;
+mod handover;
 mod membership;
 mod replica;
 mod setup;
-mod speeds;
 
 pub use {control::Control, error::Error, final_ends::FinalEnds, replica::Replica, setup::Setup};
--- a/crates/dispatch/src/leader/driver.rs
+++ b/crates/dispatch/src/leader/driver.rs
@@ -1,5 +1,7 @@
 use {
-    super::{Observer, SpeedMemory, TermEngine, UpstreamClient, step_times::StepTimes},
+    super::{
+        Observer, SpeedMemory, StartMemory, TermEngine, UpstreamClient, step_times::StepTimes,
+    },
     crate::{control::Replica, time::MedianClock},
     model::clock::Clock,
     plan::engine::{Effect, Engine, Event, FleetReport, LoadReport, Settings},
@@ -39,6 +41,7 @@
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) median_clock: Arc<Mutex<MedianClock>>,
     pub(crate) speed_memory: Arc<Mutex<SpeedMemory>>,
+    pub(crate) start_memory: Arc<Mutex<StartMemory>>,
     pub(crate) settings: Settings,
     pub(crate) inputs: mpsc::UnboundedSender<Input>,
     pub(crate) observer: Arc<dyn Observer>,
@@ -108,6 +111,7 @@
         let new_engine = || {
             let mut engine = Engine::new(self.settings.clone(), now);
             self.speed_memory().hand_over(&mut engine, now);
+            self.start_memory().hand_over(&mut engine);
             engine
         };
         let Some((term, engine, events)) =
@@ -135,6 +139,7 @@
         let took = self.clock.now().saturating_duration_since(now);
         self.observer.record_step(took, event_age);
         self.speed_memory().copy(engine, now);
+        self.start_memory().copy(engine, &state.registry(), now);
         if let Some(leftovers) = engine.take_leftovers() {
             self.observer.record_leftovers(&leftovers);
         }
@@ -162,6 +167,11 @@
         memory.unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn start_memory(&self) -> MutexGuard<'_, StartMemory> {
+        let memory = self.start_memory.lock();
+        memory.unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn perform(&self, term: u64, effect: Effect, time_ms: u64, times: &Arc<Mutex<StepTimes>>) {
         let queue = Queue {
             term,
--- a/crates/dispatch/src/leader/mod.rs
+++ b/crates/dispatch/src/leader/mod.rs
@@ -3,6 +3,7 @@
 mod driver;
 mod observer;
 mod speed_memory;
+mod start_memory;
 mod step_times;
 mod term_engine;
 mod upstream_client;
@@ -10,4 +11,4 @@
 pub use {
     driver::Driver, observer::Observer, term_engine::TermEngine, upstream_client::UpstreamClient,
 };
-pub(crate) use {driver::Input, speed_memory::SpeedMemory};
+pub(crate) use {driver::Input, speed_memory::SpeedMemory, start_memory::StartMemory};
--- a/crates/gate/src/call/request.rs
+++ b/crates/gate/src/call/request.rs
@@ -7,11 +7,11 @@
         id,
         job::Definition,
         registry::Order,
-        upstream::{Speed, Upstream},
+        upstream::{Speed, StartReport, Upstream},
     },
 };
 
-/// A request to the leader, except for [`Request::Speeds`].
+/// A request to the leader, except for [`Request::Speeds`] and [`Request::Starts`].
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Request {
     /// A client's request about a job or a queue.
@@ -76,6 +76,8 @@
     },
     /// Speeds of upstreams that the leader has learned, none if they count as alike; sent by the leader to followers.
     Speeds(Vec<Speed>),
+    /// Starts without a known outcome; sent by the leader to followers.
+    Starts(StartReport),
 }
 
 /// A client, and the host and path that it called.
--- a/crates/plan/src/engine/crash.rs
+++ b/crates/plan/src/engine/crash.rs
@@ -60,6 +60,10 @@
                 .map(|(key, _)| *key)
                 .collect();
             for key in runs {
+                // The upstream that is at the address now refuses the starts that were sent to the earlier one.
+                if let Some(tracked) = self.tracked_runs.get_mut(&key) {
+                    tracked.open_starts.clear();
+                }
                 self.void(registry, key, Void::Replaced);
             }
             self.updates.push(Update::Forget {
--- a/crates/plan/src/engine/engine.rs
+++ b/crates/plan/src/engine/engine.rs
@@ -3,7 +3,8 @@
         Effect, Effort, Event, Failure, MAX_TOKEN_OFFSET, Refusal, Settings, Target,
         addresses::Addresses, advice::Advice, avoidance::Avoidance, drain::Departures, evacuation,
         first_runs::FirstRuns, fleet_report::FleetWatch, load_report::LoadWatch,
-        reservations::Reservation, session::Session, stalls::Stalls, tracked_run::TrackedRun,
+        open_starts::LATE_CALL_LIMIT, reservations::Reservation, session::Session, stalls::Stalls,
+        start_handover::Inheritance, tracked_run::TrackedRun,
         unexplained_losses::UnexplainedLosses, usage::Usage,
     },
     crate::{
@@ -42,9 +43,6 @@
 /// Silence after which an upstream without runs is removed.
 const FORGET_SILENT_AFTER: Duration = Duration::from_secs(60);
 
-/// Time for which an unanswered call may still be carried out. The limit that the platform documents is 12 s.
-pub(super) const LATE_CALL_LIMIT: Duration = Duration::from_secs(15);
-
 /// Unit in which a token offset counts the time since the start of the term: less than an upstream needs to restart.
 const TOKEN_OFFSET_UNIT: Duration = Duration::from_millis(100);
 
@@ -132,6 +130,10 @@
     pub(super) usage_config_version: Option<u64>,
     /// Headroom for urgent work, by service.
     pub(super) headroom: IndexMap<String, Headroom>,
+    /// What an earlier leader has told of its starts.
+    pub(super) inheritance: Inheritance,
+    /// All runs that were assigned before this time of the registry are tracked.
+    pub(super) covered_ms: u64,
     /// Entries examined since [`Engine::take_effort`] was last called.
     pub(super) effort: Effort,
 }
@@ -183,6 +185,8 @@
             usages: IndexMap::default(),
             usage_config_version: None,
             headroom: IndexMap::default(),
+            inheritance: Inheritance::default(),
+            covered_ms: 0,
             effort: Effort::default(),
         }
     }
@@ -210,6 +214,7 @@
         self.expire(registry);
         self.report_first_runs();
         self.propose_updates();
+        self.cover_starts(registry);
         std::mem::take(&mut self.effects)
     }
 
@@ -342,7 +347,7 @@
                 .and_then(|tracked| self.sessions.get(&tracked.upstream))
                 .map_or(0, |session| session.born_ms),
             tracked.map_or(0, |tracked| tracked.start_attempts),
-            tracked.is_some_and(|tracked| tracked.has_unanswered_start)
+            tracked.is_some_and(|tracked| !tracked.open_starts.is_empty())
         );
         self.updates.push(Update::Void {
             task: key.0,
--- /dev/null
+++ b/crates/plan/src/engine/expiry.rs
@@ -0,0 +1,88 @@
+use {
+    super::{
+        Engine,
+        engine::RunKey,
+        session::{Session, expired_after},
+        tracked_run::{Phase, StopOrder, TrackedRun},
+    },
+    std::time::Instant,
+    work::{
+        id,
+        registry::{Registry, State},
+    },
+};
+
+/// Until when an upstream may still run what it was told to run. A run without a listed end is given up only by these
+/// rules.
+///
+/// An incarnation runs what it was told as long as the lease lasts that it was given, and nothing after a crash. The next
+/// incarnation under the same id knows neither fencing token nor stops, and carries out the calls to the earlier one that
+/// are under way. So a run whose starts all have an answer ends with its incarnation; one with an open start may begin
+/// again until [`OpenStarts::until`](super::open_starts::OpenStarts::until), also where no later incarnation is known.
+impl Engine {
+    /// Time after which an upstream that cannot be reached does not run a task any more.
+    pub(super) fn over_at(
+        &self,
+        registry: &Registry,
+        key: RunKey,
+        tracked: &TrackedRun,
+        session: &Session,
+    ) -> Instant {
+        let lease_end = session.lease_end();
+        match self.open_until(registry, key, tracked) {
+            Some(until) => {
+                // Late calls give the lease of whatever incarnation carries out the start.
+                let extended = session.late_calls_until().max(until);
+                lease_end.max(extended + expired_after(self.settings.max_lease))
+            }
+            None => lease_end,
+        }
+    }
+
+    /// Whether a run that an upstream does not list is over. The list answers a call that was sent at the given time.
+    pub(super) fn is_over_when_absent(
+        &self,
+        registry: &Registry,
+        key: RunKey,
+        tracked: &TrackedRun,
+        sent: Instant,
+    ) -> bool {
+        if self
+            .open_until(registry, key, tracked)
+            .is_some_and(|until| sent <= until)
+        {
+            return false;
+        }
+        // A confirmed stop also blocks a start that arrives later.
+        let is_blocked = tracked
+            .stopping
+            .and_then(|stop: StopOrder| stop.confirmed)
+            .is_some_and(|at| at < sent);
+        match tracked.phase {
+            Phase::Inherited => true,
+            Phase::Started { at } => at < sent,
+            Phase::Sending { .. } => false,
+            Phase::Unanswered { .. } => is_blocked,
+        }
+    }
+
+    /// Time until which a start of a run may still be carried out; none if that would do no harm.
+    fn open_until(
+        &self,
+        registry: &Registry,
+        key: RunKey,
+        tracked: &TrackedRun,
+    ) -> Option<Instant> {
+        let until = tracked.open_starts.until()?;
+        must_run_once(registry, &key.0).then_some(until)
+    }
+}
+
+/// Whether a task may be started again, and must not run twice then.
+fn must_run_once(registry: &Registry, task: &id::Task) -> bool {
+    let job = registry.job(task.job);
+    let has_copies = registry
+        .step(task)
+        .is_some_and(|step| step.copies && !step.gang);
+    job.is_some_and(|job| job.state == State::Open) && !has_copies
+}
--- a/crates/plan/src/engine/hold.rs
+++ b/crates/plan/src/engine/hold.rs
@@ -3,7 +3,7 @@
         Effect, Engine, Failure, Hold, Listing, Refusal,
         engine::RunKey,
         session::{PendingHold, Session},
-        tracked_run::{Phase, StopOrder},
+        tracked_run::Phase,
     },
     crate::learn,
     std::time::{Duration, Instant},
@@ -84,11 +84,6 @@
             return;
         };
         let last_end = session.releasable_end(registry.last_end(id));
-        session.pending_hold = Some(PendingHold {
-            call,
-            sent: now,
-            last_end,
-        });
         // Every lease sent to an upstream that does not answer would delay the time at which its runs are known to be
         // over.
         let is_reachable = session.failures == 0;
@@ -96,6 +91,12 @@
             true => session.grant_lease(now, &self.settings),
             false => None,
         };
+        session.pending_hold = Some(PendingHold {
+            call,
+            sent: now,
+            last_end,
+            gives_lease: lease_until_ms.is_some(),
+        });
         let order = Hold {
             lease_until_ms,
             last_end,
@@ -134,6 +135,9 @@
                     return;
                 };
                 session.record_failure(now);
+                if pending.gives_lease {
+                    session.record_late_call(now);
+                }
                 if session.failures == 1 {
                     log::warn!(
                         "event=upstream_lost upstream={id} born_ms={} error=\"{failure}\"",
@@ -219,6 +223,9 @@
                 }
                 tracked.is_listed = true;
                 tracked.seen_at = now;
+                if !matches!(tracked.phase, Phase::Sending { .. }) {
+                    tracked.open_starts.record_listed();
+                }
                 if !matches!(tracked.phase, Phase::Started { .. } | Phase::Sending { .. }) {
                     tracked.phase = Phase::Started { at: now };
                 }
@@ -369,6 +376,7 @@
         sent: Instant,
         listing: &Listing,
     ) {
+        let now = self.now;
         let Some(born_ms) = self.sessions.get(id).map(|session| session.born_ms) else {
             return;
         };
@@ -402,20 +410,8 @@
             if listing.has_more_ends {
                 continue;
             }
-            // A confirmed stop also blocks a start that arrives later. A restarted upstream does not know the runs of
-            // its earlier incarnation, so only a stop protects it from a start that was sent to that one.
-            let is_blocked = tracked
-                .stopping
-                .and_then(|stop: StopOrder| stop.confirmed)
-                .is_some_and(|at| at < sent);
-            let is_absent = match tracked.phase {
-                Phase::Inherited => true,
-                Phase::Started { .. } if is_restarted && tracked.has_unanswered_start => is_blocked,
-                Phase::Started { at } => at < sent,
-                Phase::Sending { .. } => false,
-                Phase::Unanswered { .. } => is_blocked,
-            };
-            if is_absent {
+            let is_inherited = tracked.phase == Phase::Inherited;
+            if self.is_over_when_absent(registry, key, tracked, sent) {
                 let reason = if is_restarted {
                     Void::Reborn
                 } else {
@@ -429,6 +425,10 @@
                 && !matches!(tracked.phase, Phase::Sending { .. })
             {
                 self.stop(key, "reborn");
+                self.stop_gang(registry, key, "member_lost");
+            } else if is_inherited && let Some(tracked) = self.tracked_runs.get_mut(&key) {
+                // The earlier leader may not have sent the start, or it is under way. The same start again does no harm.
+                tracked.phase = Phase::Unanswered { next: now };
             }
         }
     }
--- a/crates/plan/src/engine/runs.rs
+++ b/crates/plan/src/engine/runs.rs
@@ -174,6 +174,7 @@
                 tracked.phase = Phase::Started { at: now };
                 tracked.progressed_at = now;
                 tracked.seen_at = now;
+                tracked.open_starts.record_answer();
                 if let Some(session) = self.sessions.get_mut(&upstream)
                     && session.born_ms == born_ms
                 {
@@ -190,7 +191,12 @@
                     key.1,
                     tracked.start_attempts
                 );
-                tracked.has_unanswered_start |= matches!(failure, Failure::NoAnswer(_));
+                if matches!(failure, Failure::NoAnswer(_)) {
+                    tracked.open_starts.record_unanswered(now);
+                    if let Some(session) = self.sessions.get_mut(&upstream) {
+                        session.record_late_call(now);
+                    }
+                }
                 // An earlier attempt to start the same run may have succeeded.
                 let refused = Engine::was_refused(&failure);
                 if refused && tracked.start_attempts == 1 {
@@ -330,7 +336,7 @@
             return;
         };
         let unreachable = session.failures > 0 || !session.contacted;
-        if unreachable && self.now > session.lease_end() {
+        if unreachable && self.now > self.over_at(registry, key, tracked, session) {
             self.void(registry, key, Void::Lapsed);
         }
     }
--- a/crates/plan/src/engine/session.rs
+++ b/crates/plan/src/engine/session.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Settings, engine::LATE_CALL_LIMIT},
+    super::{Settings, open_starts::LATE_CALL_LIMIT},
     std::time::{Duration, Instant},
     work::{collections::IndexSet, id},
 };
@@ -34,6 +34,8 @@
     pub sent: Instant,
     /// Number of the last end that the hold releases.
     pub last_end: u64,
+    /// Whether it gives a lease.
+    pub gives_lease: bool,
 }
 
 /// The leader's state of one incarnation of an upstream.
@@ -58,8 +60,11 @@
     pub token_offset: u64,
     /// Time after which every lease given by this leader to this incarnation has expired.
     granted_until: Instant,
-    /// Time after which every lease has expired that calls of earlier leaders or to earlier incarnations can give.
+    /// Time after which every lease has expired that calls of earlier leaders or to earlier incarnations can give to the
+    /// runs that are known to be there.
     earlier_until: Instant,
+    /// Time after which no call that gives a lease and was sent before now is carried out.
+    late_calls_until: Instant,
     /// Number of consecutive failed holds.
     pub failures: u32,
     /// Time of the latest failed hold.
@@ -79,9 +84,8 @@
 impl Session {
     /// A session with an incarnation that has not answered yet. Earlier leaders may have given leases until `now`.
     ///
-    /// Calls to an earlier incarnation may be carried out until [`LATE_CALL_LIMIT`] after the leader has learned of the next
-    /// one. Their leases end by its clock, so the next incarnation, whose clock has begun anew, shortens them only to the
-    /// longest one that it accepts.
+    /// Work is assigned to an incarnation only after it has answered its leader. From then on it refuses the calls to earlier
+    /// incarnations, so only those of the leader that assigned the work can have prolonged its lease.
     pub fn new(born_ms: u64, now: Instant, settings: &Settings) -> Session {
         Session {
             born_ms,
@@ -95,7 +99,8 @@
             may_need_hold: true,
             token_offset: 0,
             granted_until: now,
-            earlier_until: now + LATE_CALL_LIMIT + expired_after(settings.max_lease),
+            earlier_until: now + expired_after(settings.max_lease),
+            late_calls_until: now + LATE_CALL_LIMIT,
             failures: 0,
             failed_at: now,
             lost_at: now,
@@ -149,14 +154,25 @@
         let least_clock_ms = self.least_clock_ms(now)?;
         let lease = Session::lease(settings);
         self.granted_until = self.granted_until.max(now + expired_after(lease));
+        self.record_late_call(now);
         Some(least_clock_ms.saturating_add(lease.as_millis() as u64))
     }
 
-    /// Time after which every lease has expired.
+    /// Time after which the runs that are known to be there have no lease any more.
     pub fn lease_end(&self) -> Instant {
         self.granted_until.max(self.earlier_until)
     }
 
+    /// Time after which no call that gives a lease and was sent before now is carried out.
+    pub fn late_calls_until(&self) -> Instant {
+        self.late_calls_until
+    }
+
+    /// Records that a call that gives a lease may be under way now.
+    pub fn record_late_call(&mut self, now: Instant) {
+        self.late_calls_until = self.late_calls_until.max(now + LATE_CALL_LIMIT);
+    }
+
     /// Records that it has answered a hold of this leader. From then on it refuses calls with a lower fencing token: those
     /// of earlier leaders and those to earlier incarnations.
     pub fn record_contact(&mut self, now: Instant, settings: &Settings) {
@@ -228,6 +244,6 @@
 }
 
 /// Maximum time until a lease given now has expired, by the leader's clock.
-fn expired_after(lease: Duration) -> Duration {
+pub(super) fn expired_after(lease: Duration) -> Duration {
     lease + lease * CLOCK_DRIFT_PERCENT / 100 + LEASE_MARGIN
 }
--- /dev/null
+++ b/crates/plan/src/engine/start_handover.rs
@@ -0,0 +1,115 @@
+use {
+    super::{
+        Engine,
+        engine::{RunKey, UnresolvedStart},
+        open_starts::OpenStarts,
+        tracked_run::{Phase, TrackedRun},
+    },
+    std::time::{Duration, Instant},
+    work::{
+        collections::{IndexMap, IndexSet},
+        registry::{Registry, Run},
+        upstream::{OpenStart, StartReport},
+    },
+};
+
+/// What an earlier leader has told of its starts.
+#[derive(Debug, Default)]
+pub(super) struct Inheritance {
+    covered_ms: u64,
+    settled: IndexSet<RunKey>,
+    /// Time until which the starts of a run may be carried out; none if the earlier leader may have sent further ones.
+    open: IndexMap<RunKey, Option<Instant>>,
+}
+
+impl Inheritance {
+    /// Open starts of a run that an earlier leader has assigned.
+    pub fn open_starts(&self, key: RunKey, run: &Run, now: Instant) -> OpenStarts {
+        if run.assigned_ms >= self.covered_ms && !self.settled.contains(&key) {
+            return OpenStarts::inherited(now);
+        }
+        match self.open.get(&key) {
+            Some(Some(until)) => OpenStarts::inherited_until(*until),
+            Some(None) => OpenStarts::inherited(now),
+            None => OpenStarts::none(now),
+        }
+    }
+}
+
+/// Starts that the next leader has to know.
+impl Engine {
+    /// What the next leader has to know of the starts that this one has sent.
+    pub fn start_report(&self, registry: &Registry) -> StartReport {
+        let now = self.now;
+        let mut settled = Vec::new();
+        let mut tracked = Vec::new();
+        for (key, run) in &self.tracked_runs {
+            let left_ms = left_ms(run.open_starts.until(), now);
+            if is_being_started(run) {
+                tracked.push((*key, run.upstream.clone(), None));
+            } else if left_ms.is_some() {
+                tracked.push((*key, run.upstream.clone(), left_ms));
+            } else if is_assigned_at(registry, *key, self.covered_ms) {
+                settled.push(*key);
+            }
+        }
+        let over = self.unresolved_starts.iter().filter_map(|(key, start)| {
+            let left_ms = left_ms(Some(start.until), now)?;
+            Some((*key, start.upstream.clone(), Some(left_ms)))
+        });
+        let open = tracked.into_iter().chain(over);
+        let open = open.map(|((task, run), upstream, left_ms)| OpenStart {
+            upstream,
+            task,
+            run,
+            left_ms,
+        });
+        StartReport {
+            covered_ms: self.covered_ms,
+            settled,
+            open: open.collect(),
+        }
+    }
+
+    /// Begins with what an earlier leader has told of its starts at `at`. What was assigned since may have open starts.
+    pub fn inherit_starts(&mut self, report: &StartReport, at: Instant) {
+        let until = |left_ms: u32| at + Duration::from_millis(u64::from(left_ms));
+        for start in &report.open {
+            let (key, until) = ((start.task, start.run), start.left_ms.map(until));
+            self.inheritance.open.insert(key, until);
+            if let Some(until) = until {
+                let upstream = start.upstream.clone();
+                self.unresolved_starts
+                    .insert(key, UnresolvedStart { upstream, until });
+            }
+        }
+        self.inheritance.covered_ms = report.covered_ms;
+        self.inheritance.settled = report.settled.iter().copied().collect();
+    }
+
+    /// Notes up to where the registry has no run that this leader may not know.
+    pub(super) fn cover_starts(&mut self, registry: &Registry) {
+        if self.proposed_placements.is_empty() {
+            self.covered_ms = registry.time_ms;
+        }
+    }
+}
+
+/// Whether a leader may send further starts of a run.
+fn is_being_started(tracked: &TrackedRun) -> bool {
+    match tracked.phase {
+        Phase::Started { .. } => false,
+        Phase::Inherited => !tracked.open_starts.is_empty(),
+        Phase::Sending { .. } | Phase::Unanswered { .. } => true,
+    }
+}
+
+fn is_assigned_at(registry: &Registry, (task, number): RunKey, at_ms: u64) -> bool {
+    let run = registry.run(&task, number);
+    run.is_some_and(|run| run.assigned_ms == at_ms)
+}
+
+fn left_ms(until: Option<Instant>, now: Instant) -> Option<u32> {
+    let left = until?.checked_duration_since(now)?;
+    u32::try_from(left.as_millis()).ok()
+}
--- a/crates/plan/src/engine/sync.rs
+++ b/crates/plan/src/engine/sync.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         Engine,
-        engine::{LATE_CALL_LIMIT, RunKey, UnresolvedStart},
+        engine::{RunKey, UnresolvedStart},
         session::Session,
         tracked_run::{Phase, TrackedRun},
     },
@@ -163,13 +163,14 @@
         let Some(step) = registry.step(&key.0) else {
             return;
         };
-        let tracked = TrackedRun::new(
+        let mut tracked = TrackedRun::new(
             run.upstream.clone(),
             run.born_ms,
             step.reserved(),
             Phase::Inherited,
             self.now,
         );
+        tracked.open_starts = self.inheritance.open_starts(key, run, self.now);
         self.tracked_runs.insert(key, tracked);
     }
 
@@ -195,10 +196,10 @@
 
     /// Records a run that is over if a start of it may still be carried out.
     fn record_unresolved_start(&mut self, key: RunKey, tracked: &TrackedRun) {
-        if tracked.has_unanswered_start {
+        if let Some(until) = tracked.open_starts.until() {
             let unresolved = UnresolvedStart {
                 upstream: tracked.upstream.clone(),
-                until: self.now + LATE_CALL_LIMIT,
+                until,
             };
             self.unresolved_starts.insert(key, unresolved);
         }
--- a/crates/plan/src/engine/tracked_run.rs
+++ b/crates/plan/src/engine/tracked_run.rs
@@ -1,5 +1,5 @@
 use {
-    super::pace::Pace,
+    super::{open_starts::OpenStarts, pace::Pace},
     std::time::{Duration, Instant},
     work::{id, job::Resources, registry::Blame},
 };
@@ -44,8 +44,7 @@
     pub tracked_since: Instant,
     /// Number of starts sent.
     pub start_attempts: u32,
-    /// Whether a start had no answer, so that it may still be carried out, even by a later incarnation of the upstream.
-    pub has_unanswered_start: bool,
+    pub open_starts: OpenStarts,
     pub stopping: Option<StopOrder>,
     /// Whether the upstream has reported it as running.
     pub is_listed: bool,
@@ -84,7 +83,7 @@
             is_inherited: phase == Phase::Inherited,
             tracked_since: now,
             start_attempts: 0,
-            has_unanswered_start: false,
+            open_starts: OpenStarts::none(now),
             stopping: None,
             is_listed: false,
             percent: 0,
@@ -108,6 +107,6 @@
     /// Whether the upstream may have carried out a start.
     pub fn may_have_started(&self) -> bool {
         let is_sent = matches!(self.phase, Phase::Inherited | Phase::Sending { .. });
-        is_sent || self.is_known_to_have_started() || self.has_unanswered_start
+        is_sent || self.is_known_to_have_started() || !self.open_starts.is_empty()
     }
 }
--- a/crates/plan/tests/incarnations/main.rs
+++ b/crates/plan/tests/incarnations/main.rs
@@ -5,3 +5,4 @@
 
 mod leases;
 mod scene;
+mod starts;
--- a/crates/plan/tests/incarnations/scene.rs
+++ b/crates/plan/tests/incarnations/scene.rs
@@ -7,7 +7,7 @@
     std::time::{Duration, Instant},
     work::{
         id,
-        registry::{Answer, Command, Registry, Update, Void},
+        registry::{Answer, Blame, Command, Registry, Update, Void},
         upstream::End,
     },
 };
@@ -355,6 +355,38 @@
         }
     }
 
+    /// Ends the work on `b`.
+    pub fn empty_other(&mut self) {
+        let other = "b".into();
+        let runs = self.registry.allocations_on(&other).map(|(key, _)| *key);
+        let at_ms = EPOCH_MS + self.now_ms;
+        for (task, run) in runs.collect::<Vec<_>>() {
+            let job = task.job;
+            self.registry.apply(Command::Cancel { at_ms, job });
+            self.commit(
+                0,
+                vec![Update::Void {
+                    task,
+                    run,
+                    reason: Void::Absent,
+                    checkpoint: String::new(),
+                    blame: Blame::None,
+                }],
+            );
+        }
+    }
+
+    /// Fails if the leader begins the task elsewhere while it is at work on `a`.
+    pub fn assert_not_begun_elsewhere(&mut self) {
+        while self.node.is_at_work(self.now_ms) {
+            let runs = self.registry.task(&sweep_task()).map(|task| &task.live);
+            let elsewhere =
+                runs.and_then(|runs| runs.iter().find(|run| run.upstream == "b".into()));
+            assert_eq!(elsewhere, None, "at {} ms", self.now_ms);
+            self.run_until(self.now_ms + STEP_MS);
+        }
+    }
+
     /// Runs until the leader takes the run on `a` to be over; fails if it is still at work then.
     pub fn assert_over_once_given_up(&mut self) {
         while self.lapsed_ms.is_none() {
--- /dev/null
+++ b/crates/plan/tests/incarnations/starts.rs
@@ -0,0 +1,121 @@
+use {
+    crate::{
+        leader::sweep_task,
+        scene::{CRASH_MS, Call, STEP_MS, Scene},
+    },
+    work::registry::State,
+};
+
+/// Lets the leader start the task on `a` again, and takes the first start, which is not carried out yet. There is room on `b`
+/// then.
+fn open_start(scene: &mut Scene) -> (Call, u64) {
+    scene.run_until(CRASH_MS);
+    scene.node.running = None;
+    scene.takes_starts = false;
+    while !matches!(scene.unanswered, Some((Call::Start(_), _))) {
+        assert!(scene.now_ms < CRASH_MS + 5000, "no start is sent");
+        scene.run_until(scene.now_ms + STEP_MS);
+    }
+    scene.empty_other();
+    scene.unanswered.take().expect("a start is under way")
+}
+
+/// Guards against a task on two upstreams at once: an upstream started again behind a cut, unknown to the leader, and carried
+/// out a start to its earlier incarnation after the lease of that one.
+#[test]
+fn an_open_start_outlasts_the_lease_behind_a_cut() {
+    let mut scene = Scene::new();
+    let late = open_start(&mut scene);
+    let sent_ms = scene.now_ms;
+    scene.takes_starts = true;
+    scene.run_until(sent_ms + 400);
+    assert!(scene.node.running.is_some(), "the second start is answered");
+    scene.crash();
+    scene.restart_unseen();
+    scene.run_until(sent_ms + 5000);
+    scene.carry_out_late(late);
+    assert!(
+        scene.node.running.is_some(),
+        "the late start is carried out"
+    );
+    scene.assert_over_once_given_up();
+}
+
+/// Guards against a task on two upstreams at once: its start had no answer and was ruled out by a stop that the upstream
+/// confirmed, which its next incarnation doesn't know.
+#[test]
+fn a_confirmed_stop_rules_out_no_start_in_a_later_incarnation() {
+    let mut scene = Scene::new();
+    let late = open_start(&mut scene);
+    let sent_ms = scene.now_ms;
+    // Longer than four starts and the stop that follows them.
+    scene.run_until(sent_ms + 3000);
+    assert!(scene.node.barred >= run_of(&late), "the run is stopped");
+    scene.crash();
+    scene.run_until(sent_ms + 3600);
+    scene.restart_unseen();
+    scene.carry_out_late(late);
+    assert!(
+        scene.node.running.is_some(),
+        "the late start is carried out"
+    );
+    scene.assert_not_begun_elsewhere();
+}
+
+/// Guards against a task on two upstreams at once: an earlier leader had sent a start that is still under way when its
+/// upstream crashes under the next leader, which found the run neither running nor ended.
+#[test]
+fn a_new_leader_waits_for_starts_of_the_earlier_one() {
+    let mut scene = Scene::new();
+    let late = open_start(&mut scene);
+    let sent_ms = scene.now_ms;
+    scene.replace_leader();
+    scene.run_until(sent_ms + 3000);
+    scene.crash();
+    scene.run_until(sent_ms + 3600);
+    scene.restart_unseen();
+    scene.carry_out_late(late);
+    assert!(
+        scene.node.running.is_some(),
+        "the late start is carried out"
+    );
+    scene.assert_not_begun_elsewhere();
+}
+
+/// Guards against callers that wait for a start which is not under way: a new leader sends the start of its predecessor
+/// again if the upstream doesn't list the run.
+#[test]
+fn a_new_leader_sends_an_unknown_start_again() {
+    let mut scene = Scene::new();
+    open_start(&mut scene);
+    scene.replace_leader();
+    scene.takes_starts = true;
+    let begun_ms = scene.now_ms;
+    scene.run_until(begun_ms + 500);
+    assert!(scene.node.running.is_some(), "the task waits");
+}
+
+/// Guards against a task that is never started again: what is open ends with the time in which a start may be late.
+#[test]
+fn a_task_with_an_open_start_is_started_again_in_time() {
+    let mut scene = Scene::new();
+    open_start(&mut scene);
+    let sent_ms = scene.now_ms;
+    scene.run_until(sent_ms + 1000);
+    scene.crash();
+    scene.run_until(sent_ms + 24_000);
+    let job = scene.registry.job(sweep_task().job);
+    assert!(job.is_some_and(|job| job.state == State::Open));
+    let runs = scene.registry.task(&sweep_task()).map(|task| &task.live);
+    assert!(
+        runs.is_some_and(|runs| runs.iter().any(|run| run.upstream == "b".into())),
+        "{runs:?}"
+    );
+}
+
+fn run_of((call, _): &(Call, u64)) -> u32 {
+    match call {
+        Call::Start(start) => start.run,
+        Call::Hold(_) => 0,
+    }
+}
--- a/crates/plan/tests/lease.rs
+++ b/crates/plan/tests/lease.rs
@@ -11,6 +11,7 @@
     work::{
         id,
         registry::{Answer, Command, Registry, Update, Void},
+        upstream::StartReport,
     },
 };
 
@@ -182,6 +183,13 @@
         ..Settings::default()
     };
     let mut engine = Engine::new(settings, start);
+    // The start of the run was answered under an earlier leader.
+    let report = StartReport {
+        covered_ms: 1000,
+        settled: vec![],
+        open: vec![],
+    };
+    engine.inherit_starts(&report, start);
     let mut events = vec![Event::Tick];
     let mut last_grant_ms = 0;
     let mut lapsed_ms = None;
--- a/crates/plan/tests/loss/cluster.rs
+++ b/crates/plan/tests/loss/cluster.rs
@@ -182,7 +182,9 @@
         self.events.clear();
         self.timeouts.clear();
         self.delayed_holds.clear();
+        let report = self.engine.start_report(&self.registry);
         self.engine = Engine::new(Settings::default(), self.now());
+        self.engine.inherit_starts(&report, self.now());
     }
 
     /// Removes a run of the task without an end, as if its start had been lost with the leader that sent it.
--- a/crates/work/src/upstream/mod.rs
+++ b/crates/work/src/upstream/mod.rs
@@ -2,10 +2,12 @@
 
 mod end;
 mod speed;
+mod start_report;
 mod upstream;
 
 pub use {
     end::{End, Outcome},
     speed::Speed,
+    start_report::{OpenStart, StartReport},
     upstream::Upstream,
 };
