plan: place no task while a start of its ended run is open

Callers saw tasks on two upstreams at once: the first start of a run had no answer, the second one was answered, the run was stopped or lost its lease, and the task began elsewhere. Its first upstream crashed, and the next incarnation carried out the first start.

a_task_whose_run_was_stopped_waits_for_its_open_start failed before: begun on the second upstream while it ran on the first one.

--- a/crates/plan/src/engine/expiry.rs
+++ b/crates/plan/src/engine/expiry.rs
@@ -66,6 +66,14 @@
         }
     }
 
+    /// Tasks that may not be started yet: a start of a run that is over may still be carried out.
+    pub(super) fn tasks_with_open_starts(&self, registry: &Registry) -> Vec<id::Task> {
+        let open = self.unresolved_starts.iter();
+        let open = open.filter(|(_, start)| self.now <= start.until);
+        let tasks = open.map(|((task, _), _)| *task);
+        tasks.filter(|task| must_run_once(registry, task)).collect()
+    }
+
     /// Time until which a start of a run may still be carried out; none if that would do no harm.
     fn open_until(
         &self,
--- a/crates/plan/src/engine/planning.rs
+++ b/crates/plan/src/engine/planning.rs
@@ -33,7 +33,8 @@
         }
         self.prune_advice(registry);
         let placements = self.proposed_placements.values().flatten();
-        let assigned: IndexSet<id::Task> = placements.map(|placement| placement.task).collect();
+        let mut assigned: IndexSet<id::Task> = placements.map(|placement| placement.task).collect();
+        assigned.extend(self.tasks_with_open_starts(registry));
         let mut units = order::ready_units(
             registry,
             &self.estimator,
--- a/crates/plan/tests/incarnations/scene.rs
+++ b/crates/plan/tests/incarnations/scene.rs
@@ -8,7 +8,7 @@
     work::{
         id,
         registry::{Answer, Blame, Command, Registry, Update, Void},
-        upstream::End,
+        upstream::{End, Outcome},
     },
 };
 
@@ -86,6 +86,19 @@
         })
     }
 
+    /// Ends what is running.
+    pub fn end(&mut self, how: Outcome) {
+        let (task, run) = self.running.take().expect("a task is running");
+        self.barred = self.barred.max(run);
+        self.ends.push(End {
+            number: self.ends.len() as u64 + 1,
+            task,
+            run,
+            how,
+            checkpoint: String::new(),
+        });
+    }
+
     pub fn start(
         &mut self,
         order: &Start,
--- a/crates/plan/tests/incarnations/starts.rs
+++ b/crates/plan/tests/incarnations/starts.rs
@@ -3,7 +3,7 @@
         leader::sweep_task,
         scene::{CRASH_MS, Call, STEP_MS, Scene},
     },
-    work::registry::State,
+    work::{registry::State, upstream::Outcome},
 };
 
 /// Lets the leader start the task on `a` again, and takes the first start, which is not carried out yet. There is room on `b`
@@ -82,6 +82,28 @@
     scene.assert_not_begun_elsewhere();
 }
 
+/// Guards against a task on two upstreams at once: its run was stopped, and an open start of the same run was carried out by
+/// the next incarnation while the task ran elsewhere.
+#[test]
+fn a_task_whose_run_was_stopped_waits_for_its_open_start() {
+    let mut scene = Scene::new();
+    let late = open_start(&mut scene);
+    let sent_ms = scene.now_ms;
+    scene.takes_starts = true;
+    scene.run_until(sent_ms + 1000);
+    scene.node.end(Outcome::Stopped);
+    scene.run_until(sent_ms + 3000);
+    scene.crash();
+    scene.run_until(sent_ms + 3600);
+    scene.restart_unseen();
+    scene.carry_out_late(late);
+    assert!(
+        scene.node.running.is_some(),
+        "the late start is carried out"
+    );
+    scene.assert_not_begun_elsewhere();
+}
+
 /// Guards against callers that wait for a start which is not under way: a new leader sends the start of its predecessor
 /// again if the upstream doesn't list the run.
 #[test]
