plan: release no end while a start of its run is open

Callers saw tasks that were started again after their end had been taken note of: the first start had no answer, the second one was answered, the task was done and its end released; the upstream crashed, and the next incarnation carried out the first start.

Nothing can refuse that start, but an end that was not released doesn't bind. The ends of an upstream are now kept while a start of a run that is over there may still be carried out, 15 s at most; from 400 ends on they are released anyway, since an upstream lists 500 at a time. The next leader does the same for the starts that it has been told of. Nobody waits for it: the registry records ends when they are listed.

Not covered: a leader that was told nothing of such a start releases the end at once.

--- a/crates/plan/src/engine/hold.rs
+++ b/crates/plan/src/engine/hold.rs
@@ -48,7 +48,7 @@
             return Some(Duration::ZERO);
         }
         let has_runs = registry.allocations_on(id).next().is_some();
-        let has_ends = registry.last_end(id) > session.released_end;
+        let has_ends = session.releasable_end(registry.last_end(id), self.now) > 0;
         if !has_runs && session.strays.is_empty() {
             let is_reachable = session.failures == 0;
             let reads_clock = is_reachable && session.is_clock_stale(self.now, &self.settings);
@@ -83,7 +83,7 @@
         let Some(session) = self.sessions.get_mut(id) else {
             return;
         };
-        let last_end = session.releasable_end(registry.last_end(id));
+        let last_end = session.releasable_end(registry.last_end(id), now);
         // Every lease sent to an upstream that does not answer would delay the time at which its runs are known to be
         // over.
         let is_reachable = session.failures == 0;
--- a/crates/plan/src/engine/session.rs
+++ b/crates/plan/src/engine/session.rs
@@ -24,6 +24,9 @@
 /// elsewhere only after its lease, so a long one makes them late; a replaced leader renews leases after about 3 s.
 const LEASE_LIMIT: Duration = Duration::from_secs(6);
 
+/// Number of unreleased ends from which ends are released although a start is open. An upstream lists 500 at a time.
+const MAX_HELD_ENDS: u64 = 400;
+
 /// Allowance for network and processing time, added to a lease before its end is relied on.
 const LEASE_MARGIN: Duration = Duration::from_millis(250);
 
@@ -75,6 +78,8 @@
     pub released_end: u64,
     /// Number of the last end in a pending or committed proposal; 0 for none.
     pub proposed_end: u64,
+    /// Time until which a start of a run that has ended there may be carried out; none if there is no such start.
+    open_start_until: Option<Instant>,
     /// Whether it may have ends that it has not listed yet.
     pub has_more_ends: bool,
     /// Runs that it reports and the registry does not have.
@@ -106,6 +111,7 @@
             lost_at: now,
             released_end: 0,
             proposed_end: 0,
+            open_start_until: None,
             has_more_ends: false,
             strays: IndexSet::default(),
         }
@@ -188,15 +194,25 @@
     /// Each incarnation numbers its ends anew. If a hold reaches the next incarnation, a number of the earlier one
     /// could release an end that nobody has seen. A number is therefore sent only directly after this incarnation has
     /// reported it.
-    pub fn releasable_end(&self, recorded_end: u64) -> u64 {
-        let is_new = recorded_end > self.released_end;
-        if self.contacted && self.failures == 0 && is_new {
+    ///
+    /// An end that is released binds: the task may not be started any more. So ends are kept while a start of a run that is
+    /// over may still reach the next incarnation.
+    pub fn releasable_end(&self, recorded_end: u64, now: Instant) -> u64 {
+        let count = recorded_end.saturating_sub(self.released_end);
+        let is_open = self.open_start_until.is_some_and(|until| now <= until);
+        let is_due = count > 0 && (!is_open || count >= MAX_HELD_ENDS);
+        if self.contacted && self.failures == 0 && is_due {
             recorded_end
         } else {
             0
         }
     }
 
+    /// Records that a start of a run that is over there may be carried out until the given time.
+    pub fn record_open_start(&mut self, until: Instant) {
+        self.open_start_until = self.open_start_until.max(Some(until));
+    }
+
     /// Records an answered hold.
     pub fn record_answer(&mut self, now: Instant) {
         self.last_heard = now;
--- a/crates/plan/src/engine/sync.rs
+++ b/crates/plan/src/engine/sync.rs
@@ -126,6 +126,11 @@
             };
             let mut session = Session::new(upstream.born_ms, self.now, &self.settings);
             session.token_offset = token_offset;
+            for start in self.unresolved_starts.values() {
+                if start.upstream == upstream.id {
+                    session.record_open_start(start.until);
+                }
+            }
             self.sessions.insert(upstream.id.clone(), session);
             self.health.shift_remove(&upstream.id);
             self.speeds.restart(upstream);
@@ -202,6 +207,9 @@
                 until,
             };
             self.unresolved_starts.insert(key, unresolved);
+            if let Some(session) = self.sessions.get_mut(&tracked.upstream) {
+                session.record_open_start(until);
+            }
         }
     }
 
--- a/crates/plan/tests/incarnations/starts.rs
+++ b/crates/plan/tests/incarnations/starts.rs
@@ -104,6 +104,25 @@
     scene.assert_not_begun_elsewhere();
 }
 
+/// Guards against a task that is started after its end was released: an open start was carried out by the next incarnation.
+#[test]
+fn the_end_of_a_run_is_released_after_its_open_starts() {
+    /// Longest delay of a call that the platform documents.
+    const MAX_DELAY_MS: u64 = 12_000;
+    let mut scene = Scene::new();
+    open_start(&mut scene);
+    let sent_ms = scene.now_ms;
+    scene.takes_starts = true;
+    scene.run_until(sent_ms + 1000);
+    scene.node.end(Outcome::Done);
+    scene.run_until(sent_ms + MAX_DELAY_MS);
+    let job = scene.registry.job(sweep_task().job);
+    assert!(job.is_some_and(|job| job.state == State::Completed));
+    assert_eq!(scene.node.released, 0);
+    scene.run_until(sent_ms + MAX_DELAY_MS + 6000);
+    assert_eq!(scene.node.released, 1);
+}
+
 /// Guards against callers that wait for a start which is not under way: a new leader sends the start of its predecessor
 /// again if the upstream doesn't list the run.
 #[test]
--- a/crates/plan/tests/release.rs
+++ b/crates/plan/tests/release.rs
@@ -10,7 +10,7 @@
     std::time::{Duration, Instant},
     work::{
         registry::{Answer, Command},
-        upstream::{End, Outcome},
+        upstream::{End, Outcome, StartReport},
     },
 };
 
@@ -29,6 +29,13 @@
     let mut registry = registry();
     let start = Instant::now();
     let mut engine = Engine::new(Settings::default(), start);
+    // The start of the run was answered under an earlier leader.
+    let report = StartReport {
+        covered_ms: 1000,
+        settled: vec![],
+        open: vec![],
+    };
+    engine.inherit_starts(&report, start);
     let mut ended = vec![End {
         number: 3,
         task: sweep_task(),
