plan: stop no run because a start of it was told to be open

A new leader took the open starts that it had been told of for starts of runs that are over, and stopped the runs at the first contact with their upstreams, although they were at work. It now takes over only those whose run the registry doesn't have.

a_new_leader_stops_no_run_with_an_open_start failed before.

--- a/crates/plan/src/engine/start_handover.rs
+++ b/crates/plan/src/engine/start_handover.rs
@@ -8,6 +8,7 @@
     std::time::{Duration, Instant},
     work::{
         collections::{IndexMap, IndexSet},
+        id,
         registry::{Registry, Run},
         upstream::{OpenStart, StartReport},
     },
@@ -19,7 +20,7 @@
     covered_ms: u64,
     settled: IndexSet<RunKey>,
     /// Time until which the starts of a run may be carried out; none if the earlier leader may have sent further ones.
-    open: IndexMap<RunKey, Option<Instant>>,
+    open: IndexMap<RunKey, (id::Upstream, Option<Instant>)>,
 }
 
 impl Inheritance {
@@ -29,8 +30,8 @@
             return OpenStarts::inherited(now);
         }
         match self.open.get(&key) {
-            Some(Some(until)) => OpenStarts::inherited_until(*until),
-            Some(None) => OpenStarts::inherited(now),
+            Some((_, Some(until))) => OpenStarts::inherited_until(*until),
+            Some((_, None)) => OpenStarts::inherited(now),
             None => OpenStarts::none(now),
         }
     }
@@ -75,18 +76,27 @@
     pub fn inherit_starts(&mut self, report: &StartReport, at: Instant) {
         let until = |left_ms: u32| at + Duration::from_millis(u64::from(left_ms));
         for start in &report.open {
-            let (key, until) = ((start.task, start.run), start.left_ms.map(until));
-            self.inheritance.open.insert(key, until);
-            if let Some(until) = until {
-                let upstream = start.upstream.clone();
-                self.unresolved_starts
-                    .insert(key, UnresolvedStart { upstream, until });
-            }
+            let key = (start.task, start.run);
+            let until = start.left_ms.map(until);
+            self.inheritance
+                .open
+                .insert(key, (start.upstream.clone(), until));
         }
         self.inheritance.covered_ms = report.covered_ms;
         self.inheritance.settled = report.settled.iter().copied().collect();
     }
 
+    /// Takes over the open starts of runs that are over.
+    pub(super) fn take_over_unresolved_starts(&mut self, registry: &Registry) {
+        for ((task, run), (upstream, until)) in &self.inheritance.open {
+            if let (Some(until), None) = (*until, registry.run(task, *run)) {
+                let upstream = upstream.clone();
+                self.unresolved_starts
+                    .insert((*task, *run), UnresolvedStart { upstream, until });
+            }
+        }
+    }
+
     /// Notes up to where the registry has no run that this leader may not know.
     pub(super) fn cover_starts(&mut self, registry: &Registry) {
         if self.proposed_placements.is_empty() {
--- a/crates/plan/src/engine/sync.rs
+++ b/crates/plan/src/engine/sync.rs
@@ -83,6 +83,9 @@
     }
 
     fn sync_all(&mut self, registry: &Registry, first: bool) {
+        if first {
+            self.take_over_unresolved_starts(registry);
+        }
         for upstream in registry.upstreams() {
             self.effort.synced += 1;
             self.sync_upstream(registry, upstream);
--- a/crates/plan/tests/incarnations/scene.rs
+++ b/crates/plan/tests/incarnations/scene.rs
@@ -360,6 +360,14 @@
         self.engine = Engine::new(Settings::default(), now);
     }
 
+    /// Replaces the leader by one that has been told which starts are open.
+    pub fn hand_over(&mut self) {
+        let report = self.engine.start_report(&self.registry);
+        self.replace_leader();
+        let now = self.origin + Duration::from_millis(self.now_ms);
+        self.engine.inherit_starts(&report, now);
+    }
+
     /// Carries out a call to `a` that has had no answer.
     pub fn carry_out_late(&mut self, (call, token): (Call, u64)) {
         match call {
--- a/crates/plan/tests/incarnations/starts.rs
+++ b/crates/plan/tests/incarnations/starts.rs
@@ -154,6 +154,20 @@
     );
 }
 
+/// Guards against a new leader that stops a task at work because a start of it is open.
+#[test]
+fn a_new_leader_stops_no_run_with_an_open_start() {
+    let mut scene = Scene::new();
+    open_start(&mut scene);
+    scene.takes_starts = true;
+    scene.run_until(scene.now_ms + 1000);
+    let running = scene.node.running;
+    assert!(running.is_some(), "the second start is answered");
+    scene.hand_over();
+    scene.run_until(scene.now_ms + 5000);
+    assert_eq!(scene.node.running, running);
+}
+
 fn run_of((call, _): &(Call, u64)) -> u32 {
     match call {
         Call::Start(start) => start.run,
