plan: tell from the clock which incarnation has answered a start

Callers saw tasks on two upstreams at once, without any late start. An upstream had started again, the leader didn't know it yet, and the next incarnation answered a start to the earlier one; the answer doesn't name the incarnation. A hold to the earlier one, under way at that time, prolonged the lease of the run behind a cut, by a clock that had begun anew. The leader counted with the lease of the earlier incarnation and began the task elsewhere. This needs no delayed start, only ordinary connections: one to an address at which an upstream has started again meanwhile is answered by the next incarnation.

An answer with a clock below the least time that the clock of the addressed incarnation can show comes from a later one. The start then counts as open until the upstream lists the run, and a wait that counts with late holds covers the lease. An incarnation that is replaced within 2 % of the time since its clock was read can't be told from the next one.

The check of leases moves to expiry.rs.

--- a/crates/plan/src/engine/engine.rs
+++ b/crates/plan/src/engine/engine.rs
@@ -59,6 +59,8 @@
     pub key: RunKey,
     /// Incarnation of the upstream that it was sent to.
     pub born_ms: u64,
+    /// The least time that the clock of that incarnation could show then, in milliseconds.
+    pub least_clock_ms: u64,
 }
 
 /// Task and number of a run.
--- a/crates/plan/src/engine/expiry.rs
+++ b/crates/plan/src/engine/expiry.rs
@@ -8,7 +8,7 @@
     std::time::Instant,
     work::{
         id,
-        registry::{Registry, State},
+        registry::{Registry, State, Void},
     },
 };
 
@@ -20,8 +20,22 @@
 /// are under way. So a run whose starts all have an answer ends with its incarnation; one with an open start may begin
 /// again until [`OpenStarts::until`](super::open_starts::OpenStarts::until), also where no later incarnation is known.
 impl Engine {
+    /// Voids a run on an unreachable upstream once nothing runs there any more.
+    pub(super) fn check_lease(&mut self, registry: &Registry, key: RunKey) {
+        let Some(tracked) = self.tracked_runs.get(&key) else {
+            return;
+        };
+        let Some(session) = self.sessions.get(&tracked.upstream) else {
+            return;
+        };
+        let unreachable = session.failures > 0 || !session.contacted;
+        if unreachable && self.now > self.over_at(registry, key, tracked, session) {
+            self.void(registry, key, Void::Lapsed);
+        }
+    }
+
     /// Time after which an upstream that cannot be reached does not run a task any more.
-    pub(super) fn over_at(
+    fn over_at(
         &self,
         registry: &Registry,
         key: RunKey,
--- a/crates/plan/src/engine/runs.rs
+++ b/crates/plan/src/engine/runs.rs
@@ -118,12 +118,20 @@
         ) else {
             return;
         };
-        let Some(lease_until_ms) = session.grant_lease(now, settings) else {
+        let (Some(least_clock_ms), Some(lease_until_ms)) = (
+            session.least_clock_ms(now),
+            session.grant_lease(now, settings),
+        ) else {
             return;
         };
         tracked.phase = Phase::Sending { call };
         let born_ms = session.born_ms;
-        self.start_calls.insert(call, StartCall { key, born_ms });
+        let start_call = StartCall {
+            key,
+            born_ms,
+            least_clock_ms,
+        };
+        self.start_calls.insert(call, start_call);
         tracked.start_attempts += 1;
         let order = Start {
             task,
@@ -158,9 +166,10 @@
         registry: &Registry,
     ) {
         let now = self.now;
-        let Some(StartCall { key, born_ms }) = self.start_calls.swap_remove(&call) else {
+        let Some(start_call) = self.start_calls.swap_remove(&call) else {
             return;
         };
+        let StartCall { key, born_ms, .. } = start_call;
         let Some(tracked) = self
             .tracked_runs
             .get_mut(&key)
@@ -174,6 +183,17 @@
                 tracked.phase = Phase::Started { at: now };
                 tracked.progressed_at = now;
                 tracked.seen_at = now;
+                // Answers to starts don't name the incarnation, but its clock tells.
+                if clock_ms.is_some_and(|clock_ms| clock_ms < start_call.least_clock_ms) {
+                    log::warn!(
+                        "event=start_in_next_incarnation task={} run={} upstream={upstream} born_ms={born_ms}",
+                        key.0,
+                        key.1
+                    );
+                    // Until that incarnation has answered a hold, calls to the earlier one may prolong its lease.
+                    tracked.open_starts.record_unanswered(now);
+                    return;
+                }
                 tracked.open_starts.record_answer();
                 if let Some(session) = self.sessions.get_mut(&upstream)
                     && session.born_ms == born_ms
@@ -327,20 +347,6 @@
         }
     }
 
-    /// Voids a run on an unreachable upstream once its lease has expired.
-    fn check_lease(&mut self, registry: &Registry, key: RunKey) {
-        let Some(tracked) = self.tracked_runs.get(&key) else {
-            return;
-        };
-        let Some(session) = self.sessions.get(&tracked.upstream) else {
-            return;
-        };
-        let unreachable = session.failures > 0 || !session.contacted;
-        if unreachable && self.now > self.over_at(registry, key, tracked, session) {
-            self.void(registry, key, Void::Lapsed);
-        }
-    }
-
     /// Stops runs of jobs that have ended and of tasks that are done.
     pub(super) fn check_need(&mut self, registry: &Registry, key: RunKey) {
         let now = self.now;
--- a/crates/plan/src/engine/session.rs
+++ b/crates/plan/src/engine/session.rs
@@ -128,7 +128,7 @@
     }
 
     /// The least time that the upstream's clock can show now, in milliseconds.
-    fn least_clock_ms(&self, now: Instant) -> Option<u64> {
+    pub fn least_clock_ms(&self, now: Instant) -> Option<u64> {
         let (clock_ms, at) = self.clock?;
         let elapsed = now.saturating_duration_since(at);
         let least = elapsed - elapsed * CLOCK_DRIFT_PERCENT / 100;
--- a/crates/plan/tests/incarnations/scene.rs
+++ b/crates/plan/tests/incarnations/scene.rs
@@ -148,6 +148,8 @@
     pub is_reachable: bool,
     /// Whether starts reach `a`.
     pub takes_starts: bool,
+    /// Whether `a` starts again, of which nobody hears, before it carries out the next start, and is cut off after it.
+    pub restarts_before_start: bool,
     /// Time by which the group's time of day is ahead of that of the upstreams.
     pub ahead_ms: u64,
     pub events: Vec<Event>,
@@ -181,6 +183,7 @@
             },
             is_reachable: true,
             takes_starts: true,
+            restarts_before_start: false,
             ahead_ms: 0,
             events: vec![],
             unanswered: None,
@@ -247,11 +250,16 @@
                 target,
                 order,
             } if target.upstream == "a".into() => {
+                let is_cut = std::mem::take(&mut self.restarts_before_start);
+                if is_cut {
+                    self.restart_unseen();
+                }
                 let token = self.token(&target);
                 let answer = match self.is_reachable && self.takes_starts {
                     true => self.node.start(&order, token, now_ms),
                     false => Err(lost()),
                 };
+                self.is_reachable &= !is_cut;
                 if answer.is_err() {
                     self.unanswered = Some((Call::Start(order), token));
                 }
--- a/crates/plan/tests/incarnations/starts.rs
+++ b/crates/plan/tests/incarnations/starts.rs
@@ -41,6 +41,25 @@
     scene.assert_over_once_given_up();
 }
 
+/// Guards against a task on two upstreams at once: the next incarnation had answered its start, and a hold for the earlier one
+/// prolonged its lease behind a cut.
+#[test]
+fn a_start_that_the_next_incarnation_answers_may_outlast_the_lease() {
+    let mut scene = Scene::new();
+    scene.run_until(CRASH_MS);
+    scene.node.running = None;
+    scene.restarts_before_start = true;
+    while scene.node.running.is_none() {
+        assert!(scene.now_ms < CRASH_MS + 5000, "no start is sent");
+        scene.run_until(scene.now_ms + STEP_MS);
+    }
+    let sent_ms = scene.now_ms;
+    scene.run_until(sent_ms + 5000);
+    let late = scene.unanswered.take().expect("a hold is under way");
+    scene.carry_out_late(late);
+    scene.assert_over_once_given_up();
+}
+
 /// Guards against a task on two upstreams at once: its start had no answer and was ruled out by a stop that the upstream
 /// confirmed, which its next incarnation doesn't know.
 #[test]
