sim: let the next incarnation carry out late orders

The oracle: an end as done that was lost with its upstream before it was released doesn't bind orders that the next incarnation was told before; for all other starts it binds as before. Such ends were never taken note of, and no leader can refuse such a start.

--- a/crates/sim/src/world/happening.rs
+++ b/crates/sim/src/world/happening.rs
@@ -23,14 +23,13 @@
         proposal: u64,
         updates: Vec<Update>,
     },
-    /// `late` holds the incarnation of the upstream that carries the order out late.
     Reach {
         term: u64,
         call: u64,
         target: Target,
         order: Order,
         answered: bool,
-        late: Option<u64>,
+        late: bool,
     },
     Answer {
         term: u64,
--- a/crates/sim/src/world/troubles.rs
+++ b/crates/sim/src/world/troubles.rs
@@ -30,6 +30,9 @@
                 if let Some((speeds, at)) = &self.told_speeds {
                     self.engine.inherit_speeds(speeds, *at);
                 }
+                if let Some((report, at)) = &self.told_starts {
+                    self.engine.inherit_starts(report, *at);
+                }
                 self.step(Vec::new());
             }
             Trouble::Reborn(id) => {
@@ -43,6 +46,7 @@
                 self.oracle.lost(&id);
                 for end in ends.iter().filter(|end| end.how == Outcome::Done) {
                     self.forget_unless_noted(&end.task);
+                    self.oracle.lost_end(end.task);
                 }
                 for (task, run) in lost {
                     self.charge(&task, &run, Outcome::Lapsed, now_ms);
--- a/crates/sim/src/world/world.rs
+++ b/crates/sim/src/world/world.rs
@@ -16,7 +16,7 @@
         id,
         job::Resources,
         registry::{Answer, Command, Registry, Update},
-        upstream::{self, Speed},
+        upstream::{self, Speed, StartReport},
     },
 };
 
@@ -32,6 +32,9 @@
 /// Interval at which the leader tells the followers the speeds.
 const TELL_INTERVAL: Duration = Duration::from_secs(3);
 
+/// Interval at which followers are told the open starts.
+const TELL_STARTS_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Interval of heartbeats, in milliseconds.
 const HEARTBEAT_MS: f64 = 1500.0;
 
@@ -60,6 +63,8 @@
     effort: Effort,
     /// Speeds that the followers know, and when the leader has told them.
     pub(super) told_speeds: Option<(Vec<Speed>, Instant)>,
+    /// Open starts as the leader has told them, and when.
+    pub(super) told_starts: Option<(StartReport, Instant)>,
     /// Revision of the registry up to which ended jobs were noted.
     pub(super) noted_revision: u64,
     pub(super) term: u64,
@@ -91,6 +96,7 @@
             is_busy: false,
             effort: Effort::default(),
             told_speeds: None,
+            told_starts: None,
             noted_revision: 0,
             load,
             base,
@@ -284,6 +290,7 @@
         let effort = self.engine.take_effort();
         self.effort += effort;
         self.tell_speeds(now);
+        self.tell_starts(now);
         self.note_ends();
         let processor = self.setup.processor;
         let took = processor.per_entry.mul_f64(effort.total() as f64)
@@ -311,6 +318,14 @@
         }
     }
 
+    /// Tells the followers the open starts, at an interval.
+    fn tell_starts(&mut self, now: Instant) {
+        let told = self.told_starts.as_ref();
+        if told.is_none_or(|(_, at)| now >= *at + TELL_STARTS_INTERVAL) {
+            self.told_starts = Some((self.engine.start_report(&self.book), now));
+        }
+    }
+
     /// What the engine's steps have examined since the previous call.
     pub fn take_effort(&mut self) -> Effort {
         std::mem::take(&mut self.effort)
