--- a/crates/dispatch/src/control/answer.rs
+++ b/crates/dispatch/src/control/answer.rs
@@ -301,7 +301,10 @@
         })? {
             time::sleep(wait).await;
         }
-        log::info!("event=upstream_left upstream={upstream} born_ms={registered_born_ms}");
+        let runs = self.read_registry(|registry| registry.allocations_on(&upstream).count())?;
+        log::info!(
+            "event=upstream_left upstream={upstream} born_ms={registered_born_ms} runs={runs}"
+        );
         let command = Command::Leave {
             upstream,
             born_ms: registered_born_ms,
