plan: close the open starts of a run that is listed after their time

Callers waited 21.4 s instead of 6.4 s for a task whose upstream was lost, if an earlier leader had assigned its run and the present one had been told of no starts, however long ago that was. The run counted as one with an open start for the whole term, since an inherited one was closed by nothing but its end, and the wait for a lost upstream then allows for late calls too.

No start is carried out after the time until which it is open. A list of the run in the answer to a later call therefore shows what there is, and only its lease counts from then on.

a_run_that_is_listed_after_its_open_starts_has_only_its_lease failed before (given up 21,420 ms after the upstream was lost) and passes now (below 7,000 ms).

--- a/crates/plan/src/engine/hold.rs
+++ b/crates/plan/src/engine/hold.rs
@@ -224,7 +224,7 @@
                 tracked.is_listed = true;
                 tracked.seen_at = now;
                 if !matches!(tracked.phase, Phase::Sending { .. }) {
-                    tracked.open_starts.record_listed();
+                    tracked.open_starts.record_listed(pending.sent);
                 }
                 if !matches!(tracked.phase, Phase::Started { .. } | Phase::Sending { .. }) {
                     tracked.phase = Phase::Started { at: now };
--- a/crates/plan/src/engine/open_starts.rs
+++ b/crates/plan/src/engine/open_starts.rs
@@ -49,9 +49,11 @@
         self.has_answer = true;
     }
 
-    /// Records that the upstream has listed the run while no answer was awaited. Each start is carried out once at most.
-    pub fn record_listed(&mut self) {
-        if self.count == 1 && !self.has_answer {
+    /// Records that the upstream has listed the run in the answer to a call that was sent at the given time, while no answer
+    /// to a start was awaited. Each start is carried out once at most, and none after its time.
+    pub fn record_listed(&mut self, sent: Instant) {
+        let is_past = sent > self.until;
+        if is_past || (self.count == 1 && !self.has_answer) {
             self.count = 0;
             self.has_answer = true;
         }
--- a/crates/plan/tests/incarnations/starts.rs
+++ b/crates/plan/tests/incarnations/starts.rs
@@ -1,7 +1,7 @@
 use {
     crate::{
         leader::sweep_task,
-        scene::{CRASH_MS, Call, STEP_MS, Scene},
+        scene::{CRASH_MS, CUT_MS, Call, STEP_MS, Scene},
     },
     work::{registry::State, upstream::Outcome},
 };
@@ -193,3 +193,15 @@
         Call::Hold(_) => 0,
     }
 }
+
+/// Guards against tasks that wait for starts which cannot be carried out any more: a new leader that was told of no starts
+/// had listed the run, and lost its upstream long after.
+#[test]
+fn a_run_that_is_listed_after_its_open_starts_has_only_its_lease() {
+    let mut scene = Scene::new();
+    scene.run_until(CUT_MS);
+    scene.is_reachable = false;
+    scene.assert_over_once_given_up();
+    let waited_ms = scene.now_ms - CUT_MS;
+    assert!(waited_ms < 7000, "given up after {waited_ms} ms");
+}
