plan: remove an upstream that leaves once its runs are over

The upstream runs on until it has the answer, and for seconds if it gets none.

Cause: a second owner of the decision that a run is over, beside expiry.rs. Its evidence was a message, not the end of what runs. Now the engine is told that the upstream leaves: it gets no new work, is removed once it has no runs and none are proposed for it, and a run that does not end is given up by its lease as everywhere. The call is answered as before and no later.

a_deregistration_ends_no_run failed before; a_task_does_not_begin_elsewhere_ while_its_upstream_runs_on_after_leaving does so at the level of the engine.

Ruled out: keeping the runs when Leave is applied, since replicas of two builds would differ. Leave stays for the logs of earlier builds; a leader of an earlier build removes as before.

--- a/crates/dispatch/src/control/answer.rs
+++ b/crates/dispatch/src/control/answer.rs
@@ -305,12 +305,10 @@
         log::info!(
             "event=upstream_left upstream={upstream} born_ms={registered_born_ms} runs={runs}"
         );
-        let command = Command::Leave {
+        self.wake(Event::UpstreamLeaves {
             upstream,
             born_ms: registered_born_ms,
-        };
-        self.shared.replica.propose(&command).await?;
-        self.wake(Event::Tick);
+        });
         Ok(Reply::Done)
     }
 
--- a/crates/dispatch/src/control/final_ends.rs
+++ b/crates/dispatch/src/control/final_ends.rs
@@ -7,8 +7,8 @@
 /// for the acknowledgement.
 const MAX_WAIT: Duration = Duration::from_millis(900);
 
-/// The wait for the last ends of an upstream that leaves. They must reach the log before its removal, or their tasks would
-/// run again.
+/// The wait for the last ends of an upstream that leaves. It ends once it has the answer, and tasks whose ends it has not
+/// listed by then run again.
 #[derive(Debug, Default)]
 pub struct FinalEnds {
     waited: Duration,
--- a/crates/plan/src/engine/drain.rs
+++ b/crates/plan/src/engine/drain.rs
@@ -10,7 +10,7 @@
         collections::IndexMap,
         id,
         job::Step,
-        registry::{Job, Registry},
+        registry::{Job, Registry, Update},
         upstream::Upstream,
     },
 };
@@ -88,6 +88,42 @@
             .collect();
     }
 
+    /// Records that an upstream leaves. It gets no new work, and is removed once nothing can run there any more.
+    pub(super) fn on_leave(&mut self, upstream: &id::Upstream, born_ms: u64) {
+        if let Some(session) = self.sessions.get_mut(upstream)
+            && session.born_ms == born_ms
+        {
+            session.has_left = true;
+            self.leaving.insert(upstream.clone());
+        }
+    }
+
+    /// Removes the upstreams that have left and whose runs are over.
+    pub(super) fn remove_departed(&mut self, registry: &Registry) {
+        let mut leaving = std::mem::take(&mut self.leaving);
+        leaving.retain(|id| {
+            let Some(session) = self.sessions.get(id).filter(|session| session.has_left) else {
+                return false;
+            };
+            if self.may_have_runs(registry, id) {
+                return true;
+            }
+            let born_ms = session.born_ms;
+            log::info!("event=upstream_removed upstream={id} born_ms={born_ms}");
+            let upstream = id.clone();
+            self.updates.push(Update::Forget { upstream, born_ms });
+            false
+        });
+        self.leaving = leaving;
+    }
+
+    /// Whether an upstream has runs, or gets some by a proposal without a known outcome.
+    pub(super) fn may_have_runs(&self, registry: &Registry, id: &id::Upstream) -> bool {
+        let mut proposed = self.proposed_placements.values().flatten();
+        registry.allocations_on(id).next().is_some()
+            || proposed.any(|placement| placement.upstream == *id)
+    }
+
     /// Expected time until a run ends.
     pub(super) fn need(&self, job: &Job, step: &Step, tracked: &TrackedRun) -> Duration {
         let expected = Duration::from_secs_f64(self.estimator.expected_ms(job, step) / 1000.0);
--- a/crates/plan/src/engine/engine.rs
+++ b/crates/plan/src/engine/engine.rs
@@ -13,7 +13,7 @@
     },
     std::time::{Duration, Instant},
     work::{
-        collections::IndexMap,
+        collections::{IndexMap, IndexSet},
         id,
         registry::{Placement, Registry, State, Update, Void},
         upstream::Speed,
@@ -121,6 +121,8 @@
     next_expire: Instant,
     pub(super) next_report: Instant,
     pub(super) departures: Departures,
+    /// Upstreams that have said that they leave, until they are removed.
+    pub(super) leaving: IndexSet<id::Upstream>,
     pub(super) evacuation_watch: evacuation::Watch,
     pub(super) fleet_watch: FleetWatch,
     pub(super) load_watch: LoadWatch,
@@ -180,6 +182,7 @@
             next_expire: now + EXPIRE_INTERVAL,
             next_report: now,
             departures: Departures::default(),
+            leaving: IndexSet::default(),
             evacuation_watch: evacuation::Watch::default(),
             fleet_watch: FleetWatch::default(),
             load_watch: LoadWatch::default(),
@@ -233,6 +236,7 @@
                 born_ms,
                 remaining,
             } => self.on_cold(&upstream, born_ms, remaining),
+            Event::UpstreamLeaves { upstream, born_ms } => self.on_leave(&upstream, born_ms),
             Event::HoldAnswered { call, answer } => self.on_hold_answer(call, answer, registry),
             Event::StartAnswered { call, answer } => self.on_start_answer(call, answer, registry),
             Event::StopAnswered { call, answer } => self.on_stop_answer(call, answer),
@@ -364,6 +368,7 @@
         if self.now >= self.next_check {
             self.next_check = self.now + CHECK_INTERVAL;
             self.check_runs(registry);
+            self.remove_departed(registry);
         }
     }
 
@@ -405,7 +410,7 @@
         self.removed.retain(|_, at| now < *at + LATE_CALL_LIMIT);
         for (id, session) in &self.sessions {
             let quiet = self.now.saturating_duration_since(session.last_heard);
-            if quiet > FORGET_SILENT_AFTER && registry.allocations_on(id).next().is_none() {
+            if quiet > FORGET_SILENT_AFTER && !self.may_have_runs(registry, id) {
                 log::info!(
                     "event=upstream_forgotten upstream={id} silent_ms={}",
                     quiet.as_millis()
--- a/crates/plan/src/engine/event.rs
+++ b/crates/plan/src/engine/event.rs
@@ -26,6 +26,13 @@
         /// How much longer it is slow.
         remaining: Duration,
     },
+    /// An upstream said that it leaves. What runs there may run on for a while.
+    UpstreamLeaves {
+        /// Upstream that said so.
+        upstream: id::Upstream,
+        /// Incarnation of the upstream, identified by its start time in milliseconds.
+        born_ms: u64,
+    },
     /// A hold was answered or failed.
     HoldAnswered {
         /// Number of the call, as in the effect.
--- a/crates/plan/src/engine/session.rs
+++ b/crates/plan/src/engine/session.rs
@@ -47,6 +47,8 @@
     pub born_ms: u64,
     /// Whether it has announced that it leaves.
     pub draining: bool,
+    /// Whether it has said that it leaves now.
+    pub has_left: bool,
     /// Time of the last message from the upstream.
     pub last_heard: Instant,
     /// Clock of the upstream in milliseconds, and the time when it was received.
@@ -95,6 +97,7 @@
         Session {
             born_ms,
             draining: false,
+            has_left: false,
             last_heard: now,
             clock: None,
             cold_until: None,
@@ -252,6 +255,7 @@
     pub fn is_usable(&self, now: Instant, settings: &Settings) -> bool {
         let quiet = now.saturating_duration_since(self.last_heard);
         self.contacted
+            && !self.has_left
             && self.failures == 0
             && self.strays.is_empty()
             && self.clock.is_some()
--- a/crates/plan/tests/incarnations/main.rs
+++ b/crates/plan/tests/incarnations/main.rs
@@ -3,6 +3,7 @@
 #[path = "../leader/mod.rs"]
 mod leader;
 
+mod departure;
 mod leases;
 mod scene;
 mod starts;
--- a/crates/work/src/registry/command.rs
+++ b/crates/work/src/registry/command.rs
@@ -46,7 +46,8 @@
         /// Current description of the upstream.
         upstream: Box<Upstream>,
     },
-    /// Removes an upstream that has left; nothing runs on it any more.
+    /// Removes an upstream that has left, and its runs. Only earlier builds propose this; now the leader removes an upstream
+    /// once its runs are over.
     Leave {
         /// Upstream that has left.
         upstream: id::Upstream,
