dispatch: send no order after the end of its term

A leader that stands still between a decision and the call, for example while a connection is being made, sent the order when it went on, though another one had led for seconds by then. The next leader counts late calls from its takeover and allows 3 s for what the earlier one may still send (15 s less the 12 s that the platform states); a start sent after 7 s and carried out 12 s later is beyond that.

The permit of an order is checked after the connection is there, right before the request is written. What remains is the time between the check and the system call.

That a leader's lease ends while its process stands still is covered by the tests of quorum.

--- a/crates/dispatch/src/leader/driver.rs
+++ b/crates/dispatch/src/leader/driver.rs
@@ -1,6 +1,7 @@
 use {
     super::{
-        Observer, SpeedMemory, StartMemory, TermEngine, UpstreamClient, step_times::StepTimes,
+        Observer, Permit, SpeedMemory, StartMemory, TermEngine, UpstreamClient,
+        step_times::StepTimes,
     },
     crate::{control::Replica, time::MedianClock},
     model::clock::Clock,
@@ -55,6 +56,18 @@
     clock: Arc<dyn Clock>,
 }
 
+/// Permits orders as long as this instance leads in their term.
+struct TermPermit {
+    replica: Replica,
+    term: u64,
+}
+
+impl Permit for TermPermit {
+    fn is_valid(&self) -> bool {
+        self.replica.leading_term() == Some(self.term)
+    }
+}
+
 impl Queue {
     fn push(&self, event: Event) {
         let input = Input {
@@ -178,6 +191,10 @@
             inputs: self.inputs.clone(),
             clock: self.clock.clone(),
         };
+        let permit = Arc::new(TermPermit {
+            replica: self.replica.clone(),
+            term,
+        });
         match effect {
             Effect::Propose { proposal, updates } => {
                 let replica = self.replica.clone();
@@ -211,7 +228,7 @@
                 order,
             } => {
                 let token = term + target.token_offset;
-                let answer = self.upstream_client.hold(target, token, order);
+                let answer = self.upstream_client.hold(target, token, permit, order);
                 tokio::spawn(async move {
                     let answer = answer.await;
                     queue.push(Event::HoldAnswered { call, answer });
@@ -223,7 +240,7 @@
                 order,
             } => {
                 let token = term + target.token_offset;
-                let answer = self.upstream_client.start(target, token, order);
+                let answer = self.upstream_client.start(target, token, permit, order);
                 tokio::spawn(async move {
                     let answer = answer.await;
                     queue.push(Event::StartAnswered { call, answer });
@@ -235,7 +252,7 @@
                 order,
             } => {
                 let token = term + target.token_offset;
-                let answer = self.upstream_client.stop(target, token, order);
+                let answer = self.upstream_client.stop(target, token, permit, order);
                 tokio::spawn(async move {
                     let answer = answer.await;
                     queue.push(Event::StopAnswered { call, answer });
--- a/crates/dispatch/src/leader/mod.rs
+++ b/crates/dispatch/src/leader/mod.rs
@@ -9,6 +9,9 @@
 mod upstream_client;
 
 pub use {
-    driver::Driver, observer::Observer, term_engine::TermEngine, upstream_client::UpstreamClient,
+    driver::Driver,
+    observer::Observer,
+    term_engine::TermEngine,
+    upstream_client::{Permit, UpstreamClient},
 };
 pub(crate) use {driver::Input, speed_memory::SpeedMemory, start_memory::StartMemory};
--- a/crates/dispatch/src/leader/upstream_client.rs
+++ b/crates/dispatch/src/leader/upstream_client.rs
@@ -1,18 +1,27 @@
 use {
     futures::future::BoxFuture,
     plan::engine::{Failure, Hold, Listing, Start, Stop, Target},
+    std::sync::Arc,
     work::id,
 };
 
+/// Tells whether an order may still be sent.
+pub trait Permit: Send + Sync {
+    /// Whether the term of the order goes on.
+    fn is_valid(&self) -> bool;
+}
+
 /// Client for commands to upstreams and for queries to the policy service.
 ///
-/// Each call must end within a bounded time. `token` is the fencing token of the order.
+/// Each call must end within a bounded time. `token` is the fencing token of the order. `permit` is checked right before the
+/// order is sent: the process may have stood still since the order was decided.
 pub trait UpstreamClient: Send + Sync {
     /// Extends the lease of all runs on an upstream and lists them.
     fn hold(
         &self,
         target: Target,
         token: u64,
+        permit: Arc<dyn Permit>,
         order: Hold,
     ) -> BoxFuture<'static, Result<Listing, Failure>>;
 
@@ -21,6 +30,7 @@
         &self,
         target: Target,
         token: u64,
+        permit: Arc<dyn Permit>,
         order: Start,
     ) -> BoxFuture<'static, Result<Option<u64>, Failure>>;
 
@@ -29,6 +39,7 @@
         &self,
         target: Target,
         token: u64,
+        permit: Arc<dyn Permit>,
         order: Stop,
     ) -> BoxFuture<'static, Result<Option<u64>, Failure>>;
 
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -9,5 +9,5 @@
 
 pub use {
     control::{Control, Setup},
-    leader::{Observer, UpstreamClient},
+    leader::{Observer, Permit, UpstreamClient},
 };
--- a/crates/dispatch/tests/group/helpers.rs
+++ b/crates/dispatch/tests/group/helpers.rs
@@ -1,5 +1,5 @@
 use {
-    dispatch::{Control, Observer, Setup, UpstreamClient},
+    dispatch::{Control, Observer, Permit, Setup, UpstreamClient},
     futures::{FutureExt, future::BoxFuture},
     gate::call::Request,
     model::clock::Boot,
@@ -24,7 +24,13 @@
 }
 
 impl UpstreamClient for Unreachable {
-    fn hold(&self, _: Target, _: u64, _: Hold) -> BoxFuture<'static, Result<Listing, Failure>> {
+    fn hold(
+        &self,
+        _: Target,
+        _: u64,
+        _: Arc<dyn Permit>,
+        _: Hold,
+    ) -> BoxFuture<'static, Result<Listing, Failure>> {
         async { unreachable_upstream() }.boxed()
     }
 
@@ -32,12 +38,19 @@
         &self,
         _: Target,
         _: u64,
+        _: Arc<dyn Permit>,
         _: Start,
     ) -> BoxFuture<'static, Result<Option<u64>, Failure>> {
         async { unreachable_upstream() }.boxed()
     }
 
-    fn stop(&self, _: Target, _: u64, _: Stop) -> BoxFuture<'static, Result<Option<u64>, Failure>> {
+    fn stop(
+        &self,
+        _: Target,
+        _: u64,
+        _: Arc<dyn Permit>,
+        _: Stop,
+    ) -> BoxFuture<'static, Result<Option<u64>, Failure>> {
         async { unreachable_upstream() }.boxed()
     }
 
