plan: count from the report where no further start is sent

Cause: a report told that further starts may be sent for every run whose start had no answer, also after its stop, and for every inherited run with an open start.

Whether a start may still be sent is now decided in one place (expiry.rs) and kept: not after a stop, whichever incarnation follows, nor for an inherited run of which the leader before sent no more, nor once the starts of an inherited run are past (it is over then if it is not listed). An answer to a call that was sent after the last time of open starts settles them.

The time that is reported includes late holds that may prolong the lease of a late start, as the leader's own rule does. Without that the next leader gave up a run at work.

Tests, on the virtual clock, before and after: - a stopped run, three changes of leader: the last one waits 21.4 s, now 6.4 s (the lease). - nothing known of a run, the second leader can't reach the upstream: the third waits 21.4 s, now 6.4 s. - a late start in the next incarnation and a late hold: given up 1.6 s before the end of its lease; now after it. - a run stopped as refused was started again in the next incarnation (the stop is forgotten there); now not.

Remains: a start that is still open at a change of leader is waited for by the new leader's own late_calls_until, since the leader before may have given a lease after its last report. So does one that the last report lists and that is past since.

--- a/crates/plan/src/engine/expiry.rs
+++ b/crates/plan/src/engine/expiry.rs
@@ -43,16 +43,35 @@
         session: &Session,
     ) -> Instant {
         let lease_end = session.lease_end();
-        match self.open_until(registry, key, tracked) {
-            Some(until) => {
-                // Late calls give the lease of whatever incarnation carries out the start.
-                let extended = session.late_calls_until().max(until);
-                lease_end.max(extended + expired_after(self.settings.max_lease))
-            }
+        let late_until = self.late_until(tracked);
+        match late_until.filter(|_| must_run_once(registry, &key.0)) {
+            Some(until) => lease_end.max(until + expired_after(self.settings.max_lease)),
             None => lease_end,
         }
     }
 
+    /// Time after which no call gives a lease to a run that an open start begins; none if no start of it is open.
+    pub(super) fn late_until(&self, tracked: &TrackedRun) -> Option<Instant> {
+        let until = tracked.open_starts.until()?;
+        // Late calls give the lease of whatever incarnation carries out the start.
+        let session = self.sessions.get(&tracked.upstream);
+        Some(session.map_or(until, |session| session.late_calls_until().max(until)))
+    }
+
+    /// Whether this leader may send further starts of a run.
+    pub(super) fn may_be_started(&self, tracked: &TrackedRun) -> bool {
+        match tracked.phase {
+            Phase::Started { .. } => false,
+            Phase::Sending { .. } => true,
+            Phase::Unanswered { .. } => tracked.is_startable,
+            // Once its starts are not carried out any more, it is over unless its upstream lists it.
+            Phase::Inherited => {
+                let until = tracked.open_starts.until();
+                tracked.is_startable && until.is_some_and(|until| self.now <= until)
+            }
+        }
+    }
+
     /// Whether a run that an upstream does not list is over. The list answers a call that was sent at the given time.
     pub(super) fn is_over_when_absent(
         &self,
--- a/crates/plan/src/engine/hold.rs
+++ b/crates/plan/src/engine/hold.rs
@@ -223,6 +223,7 @@
                 }
                 tracked.is_listed = true;
                 tracked.seen_at = now;
+                tracked.open_starts.record_contact(pending.sent);
                 if !matches!(tracked.phase, Phase::Sending { .. }) {
                     tracked.open_starts.record_listed();
                 }
@@ -410,7 +411,7 @@
             if listing.has_more_ends {
                 continue;
             }
-            let is_inherited = tracked.phase == Phase::Inherited;
+            let is_unsent = tracked.phase == Phase::Inherited && self.may_be_started(tracked);
             if self.is_over_when_absent(registry, key, tracked, sent) {
                 let reason = if is_restarted {
                     Void::Reborn
@@ -426,7 +427,7 @@
             {
                 self.stop(key, "reborn");
                 self.stop_gang(registry, key, "member_lost");
-            } else if is_inherited && let Some(tracked) = self.tracked_runs.get_mut(&key) {
+            } else if is_unsent && let Some(tracked) = self.tracked_runs.get_mut(&key) {
                 // The earlier leader may not have sent the start, or it is under way. The same start again does no harm.
                 tracked.phase = Phase::Unanswered { next: now };
             }
--- a/crates/plan/src/engine/open_starts.rs
+++ b/crates/plan/src/engine/open_starts.rs
@@ -57,6 +57,13 @@
         }
     }
 
+    /// Records that an incarnation has answered a call that was sent at the given time. Later ones begin after that.
+    pub fn record_contact(&mut self, sent: Instant) {
+        if sent > self.until {
+            self.count = 0;
+        }
+    }
+
     /// Records that nothing carries them out any more.
     pub fn clear(&mut self) {
         self.count = 0;
--- a/crates/plan/src/engine/runs.rs
+++ b/crates/plan/src/engine/runs.rs
@@ -269,6 +269,7 @@
                 tracked.upstream,
                 tracked.percent
             );
+            tracked.is_startable = false;
             tracked.stopping = Some(StopOrder {
                 call: None,
                 confirmed: None,
@@ -379,6 +380,11 @@
         if tracked.stopping.is_some() || self.now < next {
             return;
         }
+        if !tracked.is_startable {
+            // It was stopped in the earlier incarnation.
+            self.stop(key, "start_unanswered");
+            return;
+        }
         let waited = self.now.saturating_duration_since(tracked.tracked_since);
         let gang = registry.step(&key.0).is_some_and(|step| step.gang);
         let limit = self.settings.gang_timeout.mul_f64(GANG_START_SHARE);
--- a/crates/plan/src/engine/start_handover.rs
+++ b/crates/plan/src/engine/start_handover.rs
@@ -3,7 +3,6 @@
         Engine,
         engine::{RunKey, UnresolvedStart},
         open_starts::OpenStarts,
-        tracked_run::{Phase, TrackedRun},
     },
     std::time::{Duration, Instant},
     work::{
@@ -26,13 +25,20 @@
 impl Inheritance {
     /// Open starts of a run that an earlier leader has assigned.
     pub fn open_starts(&self, key: RunKey, run: &Run, now: Instant) -> OpenStarts {
-        if run.assigned_ms >= self.covered_ms && !self.settled.contains(&key) {
+        if self.may_be_started(key, run) {
             return OpenStarts::inherited(now);
         }
         match self.open.get(&key) {
             Some((_, Some(until))) => OpenStarts::inherited_until(*until),
-            Some((_, None)) => OpenStarts::inherited(now),
-            None => OpenStarts::none(now),
+            _ => OpenStarts::none(now),
+        }
+    }
+
+    /// Whether the earlier leader may have sent starts of a run since it told of them, or none at all.
+    pub fn may_be_started(&self, key: RunKey, run: &Run) -> bool {
+        match self.open.get(&key) {
+            Some((_, until)) => until.is_none(),
+            None => run.assigned_ms >= self.covered_ms && !self.settled.contains(&key),
         }
     }
 }
@@ -45,8 +51,8 @@
         let mut settled = Vec::new();
         let mut tracked = Vec::new();
         for (key, run) in &self.tracked_runs {
-            let left_ms = left_ms(run.open_starts.until(), now);
-            if is_being_started(run) {
+            let left_ms = left_ms(self.late_until(run), now);
+            if self.may_be_started(run) {
                 tracked.push((*key, run.upstream.clone(), None));
             } else if left_ms.is_some() {
                 tracked.push((*key, run.upstream.clone(), left_ms));
@@ -105,15 +111,6 @@
     }
 }
 
-/// Whether a leader may send further starts of a run.
-fn is_being_started(tracked: &TrackedRun) -> bool {
-    match tracked.phase {
-        Phase::Started { .. } => false,
-        Phase::Inherited => !tracked.open_starts.is_empty(),
-        Phase::Sending { .. } | Phase::Unanswered { .. } => true,
-    }
-}
-
 fn is_assigned_at(registry: &Registry, (task, number): RunKey, at_ms: u64) -> bool {
     let run = registry.run(&task, number);
     run.is_some_and(|run| run.assigned_ms == at_ms)
--- a/crates/plan/src/engine/sync.rs
+++ b/crates/plan/src/engine/sync.rs
@@ -179,6 +179,7 @@
             self.now,
         );
         tracked.open_starts = self.inheritance.open_starts(key, run, self.now);
+        tracked.is_startable = self.inheritance.may_be_started(key, run);
         self.tracked_runs.insert(key, tracked);
     }
 
--- a/crates/plan/src/engine/tracked_run.rs
+++ b/crates/plan/src/engine/tracked_run.rs
@@ -45,6 +45,8 @@
     /// Number of starts sent.
     pub start_attempts: u32,
     pub open_starts: OpenStarts,
+    /// Whether its start may be sent, for the first time or again. Not after a stop, nor if an earlier leader sent no more.
+    pub is_startable: bool,
     pub stopping: Option<StopOrder>,
     /// Whether the upstream has reported it as running.
     pub is_listed: bool,
@@ -84,6 +86,7 @@
             tracked_since: now,
             start_attempts: 0,
             open_starts: OpenStarts::none(now),
+            is_startable: true,
             stopping: None,
             is_listed: false,
             percent: 0,
--- a/crates/plan/tests/incarnations/starts.rs
+++ b/crates/plan/tests/incarnations/starts.rs
@@ -1,7 +1,7 @@
 use {
     crate::{
         leader::sweep_task,
-        scene::{CRASH_MS, Call, STEP_MS, Scene},
+        scene::{CRASH_MS, Call, MAX_LEASE_MS, STEP_MS, Scene},
     },
     work::{registry::State, upstream::Outcome},
 };
@@ -126,8 +126,6 @@
 /// Guards against a task that is started after its end was released: an open start was carried out by the next incarnation.
 #[test]
 fn the_end_of_a_run_is_released_after_its_open_starts() {
-    /// Longest delay of a call that the platform documents.
-    const MAX_DELAY_MS: u64 = 12_000;
     let mut scene = Scene::new();
     open_start(&mut scene);
     let sent_ms = scene.now_ms;
@@ -187,6 +185,100 @@
     assert_eq!(scene.node.running, running);
 }
 
+/// Longest delay of a call that the platform documents.
+const MAX_DELAY_MS: u64 = 12_000;
+
+/// Time for which a lease may last that the leader does not know, with its margins.
+const LONGEST_LEASE_MS: u64 = 6500;
+
+/// Time after which a start without an answer is not carried out, by the leader's reckoning.
+const OPEN_MS: u64 = 15_000;
+
+/// Guards against callers that wait for a start which cannot be under way any more: a run was stopped after its starts had no
+/// answer, and the next leader could not reach its upstream either.
+#[test]
+fn a_new_leader_does_not_wait_for_starts_of_a_stopped_run() {
+    let mut scene = Scene::new();
+    open_start(&mut scene);
+    let sent_ms = scene.now_ms;
+    scene.run_until(sent_ms + 3000);
+    assert!(scene.node.barred > 0, "the run is stopped");
+    scene.crash();
+    let crash_ms = scene.now_ms;
+    scene.run_until(crash_ms + OPEN_MS + 3000);
+    for _ in 0..3 {
+        assert_eq!(scene.lapsed_ms, None);
+        scene.hand_over();
+        scene.run_until(scene.now_ms + 3000);
+    }
+    let begun_ms = scene.now_ms - 3000;
+    scene.assert_over_once_given_up();
+    let waited_ms = scene.now_ms - begun_ms;
+    assert!(waited_ms < LONGEST_LEASE_MS, "waited for {waited_ms} ms");
+}
+
+/// Guards against callers that wait for a start which cannot be under way any more: nothing was known of a run, and neither
+/// leader could reach its upstream.
+#[test]
+fn a_third_leader_does_not_wait_for_starts_of_the_first_one() {
+    let mut scene = Scene::new();
+    open_start(&mut scene);
+    scene.crash();
+    scene.replace_leader();
+    scene.run_until(scene.now_ms + OPEN_MS + 1000);
+    assert_eq!(scene.lapsed_ms, None);
+    scene.hand_over();
+    let begun_ms = scene.now_ms;
+    scene.assert_over_once_given_up();
+    let waited_ms = scene.now_ms - begun_ms;
+    assert!(waited_ms < LONGEST_LEASE_MS, "waited for {waited_ms} ms");
+}
+
+/// Guards against a task on two upstreams at once: the next incarnation carried out a late start behind a cut, and a hold that
+/// was under way at the change of leader prolonged its lease.
+#[test]
+fn a_new_leader_waits_for_holds_that_may_prolong_a_late_start() {
+    let mut scene = Scene::new();
+    let late_start = open_start(&mut scene);
+    let sent_ms = scene.now_ms;
+    scene.takes_starts = true;
+    scene.run_until(sent_ms + MAX_DELAY_MS - 500);
+    assert!(scene.node.running.is_some(), "the second start is answered");
+    scene.crash();
+    let hold_ms = scene.now_ms;
+    scene.run_until(hold_ms + 200);
+    let late_hold = scene.unanswered.take().expect("a hold is under way");
+    assert!(matches!(late_hold, (Call::Hold(_), _)));
+    scene.restart_unseen();
+    scene.carry_out_late(late_start);
+    scene.run_until(sent_ms + OPEN_MS + 500);
+    scene.hand_over();
+    // Its lease lasts until then.
+    scene.run_until(hold_ms + MAX_LEASE_MS);
+    scene.carry_out_late(late_hold);
+    scene.assert_over_once_given_up();
+}
+
+/// Guards against a start that is sent after the next leader was told that none will be: the upstream of a stopped run
+/// started again, and the stop was forgotten.
+#[test]
+fn a_stopped_run_is_not_started_in_the_next_incarnation() {
+    let mut scene = Scene::new();
+    let late = open_start(&mut scene);
+    let run = run_of(&late);
+    scene.takes_starts = true;
+    scene.node.barred = run;
+    scene.run_until(scene.now_ms + 1000);
+    scene.takes_starts = false;
+    scene.crash();
+    scene.run_until(scene.now_ms + 600);
+    scene.unanswered = None;
+    scene.restart();
+    scene.run_until(scene.now_ms + 2000);
+    let sent = scene.unanswered.as_ref().map(run_of);
+    assert!(sent != Some(run), "run {run} is started again");
+}
+
 fn run_of((call, _): &(Call, u64)) -> u32 {
     match call {
         Call::Start(start) => start.run,
