plan: cover known starts while placements are under way

Cause: covered_ms moved on only at the end of a step without a proposed placement, and a report settled only the runs that were assigned at exactly that time. While placements are under way in each step, the next leader therefore counted all runs that were assigned since as possibly under way, and waited for late calls and a lease for each that it could not reach.

Now covered_ms is the registry time at which the oldest of these proposals was made (their runs are assigned then or later), and a report settles runs that were assigned at covered_ms or later.

Ruled out: that a second leader's report is refused because covered_ms begins with 0.

Test: a proposal without an outcome, a run that is assigned and confirmed since, then a new leader that can't reach the upstream.

--- a/crates/plan/src/engine/engine.rs
+++ b/crates/plan/src/engine/engine.rs
@@ -53,6 +53,14 @@
     pub until: Instant,
 }
 
+/// Placements in a proposal without a known outcome.
+#[derive(Clone, Debug)]
+pub(super) struct Proposed {
+    pub placements: Vec<Placement>,
+    /// Time of the registry when they were proposed. Their runs are assigned then or later.
+    pub since_ms: u64,
+}
+
 /// A start that has no answer yet.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct StartCall {
@@ -88,7 +96,7 @@
     pub(super) stalls: Stalls,
     pub(super) first_runs: FirstRuns,
     /// Placements in proposals without a known outcome, by proposal.
-    pub(super) proposed_placements: IndexMap<u64, Vec<Placement>>,
+    pub(super) proposed_placements: IndexMap<u64, Proposed>,
     /// Runs that pending proposals void, by proposal, so that no run is voided twice.
     pub(super) proposed_voids: IndexMap<u64, Vec<RunKey>>,
     /// Upstreams whose ends are in a pending proposal, by proposal.
@@ -215,7 +223,7 @@
         self.send_holds(registry);
         self.expire(registry);
         self.report_first_runs();
-        self.propose_updates();
+        self.propose_updates(registry);
         self.cover_starts(registry);
         std::mem::take(&mut self.effects)
     }
@@ -324,6 +332,12 @@
         MAX_TOKEN_OFFSET.min(units as u64 + 1)
     }
 
+    /// Placements in proposals without a known outcome.
+    pub(super) fn placements_under_way(&self) -> impl Iterator<Item = &Placement> {
+        let proposed = self.proposed_placements.values();
+        proposed.flat_map(|proposed| &proposed.placements)
+    }
+
     /// Proposes that a run is over although no end was reported.
     pub(super) fn void(&mut self, registry: &Registry, key: RunKey, reason: Void) {
         if self
@@ -419,7 +433,7 @@
     }
 
     /// Proposes the updates of this step.
-    fn propose_updates(&mut self) {
+    fn propose_updates(&mut self, registry: &Registry) {
         if self.updates.is_empty() {
             return;
         }
@@ -427,7 +441,12 @@
         let updates = std::mem::take(&mut self.updates);
         let placements = std::mem::take(&mut self.placements);
         if !placements.is_empty() {
-            self.proposed_placements.insert(proposal, placements);
+            let since_ms = registry.time_ms;
+            let proposed = Proposed {
+                placements,
+                since_ms,
+            };
+            self.proposed_placements.insert(proposal, proposed);
         }
         let voids = updates.iter().filter_map(|update| match update {
             Update::Void { task, run, .. } => Some((*task, *run)),
@@ -442,10 +461,10 @@
 
     /// Forgets a proposal whose outcome is known or will never be.
     pub(super) fn finish_proposal(&mut self, registry: &Registry, proposal: u64) {
-        let placements = self.proposed_placements.shift_remove(&proposal);
+        let proposed = self.proposed_placements.shift_remove(&proposal);
         self.proposed_voids.shift_remove(&proposal);
         // The proposal may have been committed although its outcome is unknown here.
-        for placement in placements.into_iter().flatten() {
+        for placement in proposed.iter().flat_map(|proposed| &proposed.placements) {
             self.track_live_runs(registry, &placement.task);
         }
         if let Some(upstream) = self.proposed_ends.shift_remove(&proposal)
--- a/crates/plan/src/engine/planning.rs
+++ b/crates/plan/src/engine/planning.rs
@@ -32,7 +32,7 @@
             return;
         }
         self.prune_advice(registry);
-        let placements = self.proposed_placements.values().flatten();
+        let placements = self.placements_under_way();
         let mut assigned: IndexSet<id::Task> = placements.map(|placement| placement.task).collect();
         assigned.extend(self.tasks_with_open_starts(registry));
         let mut units = order::ready_units(
--- a/crates/plan/src/engine/runs.rs
+++ b/crates/plan/src/engine/runs.rs
@@ -47,7 +47,7 @@
         let placements = self
             .proposed_placements
             .shift_remove(&proposal)
-            .unwrap_or_default();
+            .map_or_else(Vec::new, |proposed| proposed.placements);
         self.proposed_voids.shift_remove(&proposal);
         if let Some(upstream) = self.proposed_ends.shift_remove(&proposal)
             && let Some(session) = self.sessions.get_mut(&upstream)
--- a/crates/plan/src/engine/start_handover.rs
+++ b/crates/plan/src/engine/start_handover.rs
@@ -56,7 +56,7 @@
                 tracked.push((*key, run.upstream.clone(), None));
             } else if left_ms.is_some() {
                 tracked.push((*key, run.upstream.clone(), left_ms));
-            } else if is_assigned_at(registry, *key, self.covered_ms) {
+            } else if is_assigned_since(registry, *key, self.covered_ms) {
                 settled.push(*key);
             }
         }
@@ -105,15 +105,14 @@
 
     /// Notes up to where the registry has no run that this leader may not know.
     pub(super) fn cover_starts(&mut self, registry: &Registry) {
-        if self.proposed_placements.is_empty() {
-            self.covered_ms = registry.time_ms;
-        }
+        let oldest = self.proposed_placements.values().next();
+        self.covered_ms = oldest.map_or(registry.time_ms, |oldest| oldest.since_ms);
     }
 }
 
-fn is_assigned_at(registry: &Registry, (task, number): RunKey, at_ms: u64) -> bool {
+fn is_assigned_since(registry: &Registry, (task, number): RunKey, since_ms: u64) -> bool {
     let run = registry.run(&task, number);
-    run.is_some_and(|run| run.assigned_ms == at_ms)
+    run.is_some_and(|run| run.assigned_ms >= since_ms)
 }
 
 fn left_ms(until: Option<Instant>, now: Instant) -> Option<u32> {
--- a/crates/plan/src/engine/sync.rs
+++ b/crates/plan/src/engine/sync.rs
@@ -163,9 +163,11 @@
             tracked.born_ms = run.born_ms;
             return;
         }
-        let mut placements = self.proposed_placements.values().flatten();
         // The commit of the proposal begins the run.
-        if placements.any(|placement| placement.task == key.0) {
+        if self
+            .placements_under_way()
+            .any(|placement| placement.task == key.0)
+        {
             return;
         }
         let Some(step) = registry.step(&key.0) else {
--- a/crates/plan/src/engine/usage.rs
+++ b/crates/plan/src/engine/usage.rs
@@ -116,7 +116,7 @@
                 round.hosts[*position].subtract(usage);
             }
         }
-        for placement in self.proposed_placements.values().flatten() {
+        for placement in self.placements_under_way() {
             let task = placement.task;
             let (Some(position), Some(job), Some(step)) = (
                 round.positions.get(&placement.upstream).copied(),
--- a/crates/plan/tests/incarnations/scene.rs
+++ b/crates/plan/tests/incarnations/scene.rs
@@ -8,13 +8,16 @@
     work::{
         id,
         registry::{Answer, Blame, Command, Registry, Update, Void},
-        upstream::{End, Outcome},
+        upstream::{End, Outcome, StartReport},
     },
 };
 
 /// Interval between two steps of the engine.
 pub const STEP_MS: u64 = 20;
 
+/// Interval at which the followers are told the open starts.
+const TELL_INTERVAL_MS: u64 = 1000;
+
 /// Time of day at the start.
 pub const EPOCH_MS: u64 = 1_000_000_000;
 
@@ -157,6 +160,10 @@
     pub unanswered: Option<(Call, u64)>,
     /// Tokens of the calls to `a` since its incarnation began.
     pub tokens: Vec<u64>,
+    /// Job of which the proposals to place it stay without an outcome.
+    pub withheld: Option<id::Job>,
+    /// What the followers know of the starts, and when they were told.
+    pub told: Option<(StartReport, Instant)>,
     /// When the leader took the run on `a` to be over because of its lease.
     pub lapsed_ms: Option<u64>,
 }
@@ -188,6 +195,8 @@
             events: vec![],
             unanswered: None,
             tokens: vec![],
+            withheld: None,
+            told: None,
             lapsed_ms: None,
         };
         scene.run_until(100);
@@ -229,6 +238,7 @@
         let now_ms = self.now_ms;
         let lost = || Failure::NoAnswer("cut off".into());
         let event = match effect {
+            Effect::Propose { updates, .. } if self.is_withheld(&updates) => return,
             Effect::Propose { proposal, updates } => self.commit(proposal, updates),
             Effect::Hold {
                 call,
@@ -376,6 +386,41 @@
         self.engine.inherit_starts(&report, now);
     }
 
+    fn is_withheld(&self, updates: &[Update]) -> bool {
+        let placements = updates.iter().flat_map(|update| match update {
+            Update::Assign(placements) => placements.as_slice(),
+            _ => &[],
+        });
+        let mut jobs = placements.map(|placement| placement.task.job);
+        jobs.any(|job| Some(job) == self.withheld)
+    }
+
+    /// Tells the followers which starts are open. They keep what covers more.
+    pub fn tell(&mut self) {
+        let report = self.engine.start_report(&self.registry);
+        let now = self.origin + Duration::from_millis(self.now_ms);
+        let known = self.told.as_ref().map(|(known, _)| known.covered_ms);
+        if known.is_none_or(|known| report.covered_ms >= known) {
+            self.told = Some((report, now));
+        }
+    }
+
+    /// Tells the followers at an interval while the leader runs.
+    pub fn tell_until(&mut self, end_ms: u64) {
+        while self.now_ms < end_ms {
+            self.run_until(end_ms.min(self.now_ms + TELL_INTERVAL_MS));
+            self.tell();
+        }
+    }
+
+    /// Replaces the leader by one of the followers.
+    pub fn promote_follower(&mut self) {
+        self.replace_leader();
+        if let Some((report, at)) = &self.told {
+            self.engine.inherit_starts(report, *at);
+        }
+    }
+
     /// Carries out a call to `a` that has had no answer.
     pub fn carry_out_late(&mut self, (call, token): (Call, u64)) {
         match call {
--- a/crates/plan/tests/incarnations/starts.rs
+++ b/crates/plan/tests/incarnations/starts.rs
@@ -1,11 +1,14 @@
 use {
     crate::{
-        leader::sweep_task,
+        leader::{submit, sweep_task},
         scene::{CRASH_MS, Call, MAX_LEASE_MS, STEP_MS, Scene},
     },
-    work::{registry::State, upstream::Outcome},
+    work::{id, registry::State, upstream::Outcome},
 };
 
+/// Work that waits beside the sweep job.
+const EXTRA: id::Job = id::Job(3);
+
 /// Lets the leader start the task on `a` again, and takes the first start, which is not carried out yet. There is room on `b`
 /// then.
 fn open_start(scene: &mut Scene) -> (Call, u64) {
@@ -279,6 +282,27 @@
     assert!(sent != Some(run), "run {run} is started again");
 }
 
+/// Guards against callers that wait for starts which are known to be settled, because placements were under way in each step
+/// of the leader since.
+#[test]
+fn a_leader_tells_of_starts_while_placements_are_under_way() {
+    let mut scene = Scene::new();
+    scene.tell_until(CRASH_MS);
+    scene.empty_other();
+    submit(&mut scene.registry, EXTRA, "urgent");
+    scene.withheld = Some(EXTRA);
+    scene.tell_until(CRASH_MS + 1000);
+    scene.node.running = None;
+    scene.tell_until(CRASH_MS + OPEN_MS);
+    assert!(scene.node.running.is_some(), "the task is started again");
+    scene.crash();
+    scene.promote_follower();
+    let begun_ms = scene.now_ms;
+    scene.assert_over_once_given_up();
+    let waited_ms = scene.now_ms - begun_ms;
+    assert!(waited_ms < LONGEST_LEASE_MS, "waited for {waited_ms} ms");
+}
+
 fn run_of((call, _): &(Call, u64)) -> u32 {
     match call {
         Call::Start(start) => start.run,
--- a/crates/work/src/upstream/start_report.rs
+++ b/crates/work/src/upstream/start_report.rs
@@ -10,7 +10,7 @@
     /// Runs that were assigned before this time of the registry, in milliseconds, have no open start unless they are listed
     /// as open.
     pub covered_ms: u64,
-    /// Runs that were assigned at that time and have no open start.
+    /// Runs that were assigned at that time or later and have no open start.
     pub settled: Vec<(id::Task, u32)>,
     /// Runs with open starts.
     pub open: Vec<OpenStart>,
