dispatch: order the reports of leaders by term and number

Cause: followers kept the report with the larger covered_ms. A deposed leader that doesn't know it yet could replace the report of the later one, messages of one leader could overtake each other, and equal covered_ms were decided by the order of arrival. A new leader's own report was refused as long as it covered less.

Reports now have the leader's term and a number within it, and only a later one replaces what is known, also at an instance that leads.

Mixed group: the message is a new request at the end of the list, the earlier one is unchanged. A leader of an earlier build sends the unnumbered message, which counts by what it covers, as before, and takes no place in the order; so until all instances run the new build a deposed leader of the earlier build may still replace a report.

--- a/crates/dispatch/src/control/answer.rs
+++ b/crates/dispatch/src/control/answer.rs
@@ -32,7 +32,8 @@
         if self.shared.replica.leading_term().is_none() {
             match request {
                 Request::Speeds(speeds) => return self.remember_speeds(speeds),
-                Request::Starts(report) => return self.remember_starts(report),
+                Request::Starts(report) => return self.remember_unnumbered_starts(report),
+                Request::NumberedStarts(report) => return self.remember_starts(report),
                 _ => {}
             }
             let leader = self.shared.replica.leader();
@@ -56,6 +57,8 @@
             Request::Ping => Ok(self.members()),
             // The sender has led before this instance did.
             Request::Speeds(_) | Request::Starts(_) => Ok(Reply::Done),
+            // The sender may also lead already.
+            Request::NumberedStarts(report) => return self.remember_starts(report),
             Request::DataCentres => self.list_data_centres().await,
             Request::Evacuate {
                 data_centre,
--- a/crates/dispatch/src/control/handover.rs
+++ b/crates/dispatch/src/control/handover.rs
@@ -8,7 +8,7 @@
         time::{Duration, Instant},
     },
     wire::Verdict,
-    work::upstream::{Speed, StartReport},
+    work::upstream::{NumberedReport, Speed, StartReport},
 };
 
 /// Interval at which the leader tells the followers the speeds that it has learned. Those of busy upstreams are measured
@@ -25,7 +25,7 @@
     speeds_told: Option<Instant>,
     was_uneven: bool,
     starts_told: Option<Instant>,
-    last_starts: StartReport,
+    last_starts: NumberedReport,
 }
 
 impl Telling {
@@ -45,7 +45,7 @@
         let is_uneven = !speeds.is_empty();
         if is_uneven || self.was_uneven {
             self.speeds_told = Some(now);
-            tokio::spawn(tell(control.clone(), Request::Speeds(speeds)));
+            tokio::spawn(tell(control.clone(), Request::Speeds(speeds), None));
         }
         self.was_uneven = is_uneven;
     }
@@ -56,11 +56,14 @@
         if is_recent(self.starts_told, STARTS_INTERVAL, now) {
             return;
         }
-        let report = control.start_memory().report().clone();
-        if report != self.last_starts {
+        let latest = control.start_memory().latest().clone();
+        let last = &self.last_starts;
+        if latest.term != last.term || latest.report != last.report {
             self.starts_told = Some(now);
-            self.last_starts = report.clone();
-            tokio::spawn(tell(control.clone(), Request::Starts(report)));
+            self.last_starts = latest.clone();
+            let unnumbered = Request::Starts(latest.report.clone());
+            let request = Request::NumberedStarts(latest);
+            tokio::spawn(tell(control.clone(), request, Some(unnumbered)));
         }
     }
 }
@@ -69,32 +72,40 @@
     at.is_some_and(|at| now < at + interval)
 }
 
-/// Tells each follower once: the next time will do as well.
-async fn tell(control: Control, request: Request) {
-    let request = match postcard::to_stdvec(&request) {
-        Ok(request) => request,
-        Err(error) => {
-            log::warn!("event=handover_not_encoded error=\"{error}\"");
-            return;
-        }
-    };
+/// Tells each follower once: the next time will do as well. One of an earlier build that does not know the request is told the
+/// earlier form of it.
+async fn tell(control: Control, request: Request, earlier: Option<Request>) {
+    let forms = [Some(request), earlier].into_iter().flatten();
+    let forms: Vec<Vec<u8>> = forms.filter_map(|request| encode(&request)).collect();
     let members = control.shared.replica.view().members.all().into_iter();
     let ids = members.map(|member| member.id);
     let others = ids.filter(|id| *id != control.shared.id);
     let calls = others.map(async |id| {
-        let answer = control.shared.peers.propose(id, SERVICE, &request).await;
-        match answer {
-            Ok(Verdict::Answer(_)) => {}
-            // An earlier build does not know the request.
-            Ok(verdict) => {
-                log::debug!("event=handover_not_told instance={id} error=\"{verdict:?}\"")
+        for form in &forms {
+            match control.shared.peers.propose(id, SERVICE, form).await {
+                Ok(Verdict::Answer(_)) => return,
+                // An earlier build does not know the request.
+                Ok(verdict) => {
+                    log::debug!("event=handover_not_told instance={id} error=\"{verdict:?}\"")
+                }
+                Err(error) => {
+                    log::debug!("event=handover_not_told instance={id} error=\"{error}\"");
+                    return;
+                }
             }
-            Err(error) => log::debug!("event=handover_not_told instance={id} error=\"{error}\""),
         }
     });
     future::join_all(calls).await;
 }
 
+fn encode(request: &Request) -> Option<Vec<u8>> {
+    let bytes = postcard::to_stdvec(request);
+    let log = |error: &postcard::Error| {
+        log::warn!("event=handover_not_encoded error=\"{error}\"");
+    };
+    bytes.inspect_err(log).ok()
+}
+
 impl Control {
     /// Keeps the speeds that the leader has told, in case this instance leads next.
     pub(super) fn remember_speeds(&self, speeds: Vec<Speed>) -> Verdict {
@@ -103,8 +114,16 @@
     }
 
     /// Keeps the open starts that the leader has told, in case this instance leads next.
-    pub(super) fn remember_starts(&self, report: StartReport) -> Verdict {
-        self.start_memory().replace(report, self.shared.clock.now());
+    pub(super) fn remember_starts(&self, report: NumberedReport) -> Verdict {
+        let now = self.shared.clock.now();
+        self.start_memory().replace(report, now);
+        done()
+    }
+
+    /// Keeps the open starts that a leader of an earlier build has told.
+    pub(super) fn remember_unnumbered_starts(&self, report: StartReport) -> Verdict {
+        let now = self.shared.clock.now();
+        self.start_memory().replace_by_unnumbered(report, now);
         done()
     }
 
--- a/crates/dispatch/src/leader/driver.rs
+++ b/crates/dispatch/src/leader/driver.rs
@@ -139,7 +139,8 @@
         let took = self.clock.now().saturating_duration_since(now);
         self.observer.record_step(took, event_age);
         self.speed_memory().copy(engine, now);
-        self.start_memory().copy(engine, &state.registry(), now);
+        self.start_memory()
+            .copy(engine, &state.registry(), term, now);
         if let Some(leftovers) = engine.take_leftovers() {
             self.observer.record_leftovers(&leftovers);
         }
--- a/crates/dispatch/src/leader/mod.rs
+++ b/crates/dispatch/src/leader/mod.rs
@@ -9,6 +9,7 @@
 mod upstream_client;
 
 pub use {
-    driver::Driver, observer::Observer, term_engine::TermEngine, upstream_client::UpstreamClient,
+    driver::Driver, observer::Observer, start_memory::StartMemory, term_engine::TermEngine,
+    upstream_client::UpstreamClient,
 };
-pub(crate) use {driver::Input, speed_memory::SpeedMemory, start_memory::StartMemory};
+pub(crate) use {driver::Input, speed_memory::SpeedMemory};
--- a/crates/dispatch/tests/group/formation.rs
+++ b/crates/dispatch/tests/group/formation.rs
@@ -11,7 +11,7 @@
         id,
         job::{Definition, Step},
         registry::{self, Command},
-        upstream::{self, End, Speed},
+        upstream::{self, End, NumberedReport, Speed, StartReport},
     },
 };
 
@@ -200,6 +200,26 @@
     .await;
 }
 
+/// Guards against followers that refuse what the leader tells of its starts, with or without a number, and against a leader
+/// that refuses what another one tells.
+#[tokio::test]
+async fn every_instance_accepts_starts() {
+    let addresses = addresses(3);
+    let folders: Vec<_> = (0..3).map(|_| tempfile::tempdir().unwrap()).collect();
+    let start = |number: usize| spawn(addresses[number], &addresses, folders[number].path(), true);
+    let controls: Vec<Control> = (0..3).map(start).collect();
+    let timeout = Duration::from_secs(20);
+    for control in &controls {
+        for request in [
+            Request::Starts(StartReport::default()),
+            Request::NumberedStarts(NumberedReport::default()),
+        ] {
+            let outcome = control.call(request, timeout).await;
+            assert_eq!(outcome, Outcome::Answered(Reply::Done));
+        }
+    }
+}
+
 /// Guards against followers that refuse what the leader tells of the speeds, and against a leader that takes it from another.
 #[tokio::test]
 async fn every_instance_accepts_speeds() {
--- a/crates/gate/src/call/request.rs
+++ b/crates/gate/src/call/request.rs
@@ -7,11 +7,11 @@
         id,
         job::Definition,
         registry::Order,
-        upstream::{Speed, StartReport, Upstream},
+        upstream::{NumberedReport, Speed, StartReport, Upstream},
     },
 };
 
-/// A request to the leader, except for [`Request::Speeds`] and [`Request::Starts`].
+/// A request to the leader, except for [`Request::Speeds`], [`Request::Starts`] and [`Request::NumberedStarts`].
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Request {
     /// A client's request about a job or a queue.
@@ -76,8 +76,10 @@
     },
     /// Speeds of upstreams that the leader has learned, none if they count as alike; sent by the leader to followers.
     Speeds(Vec<Speed>),
-    /// Starts without a known outcome; sent by the leader to followers.
+    /// Starts without a known outcome; sent by the leader to followers that do not know [`Request::NumberedStarts`].
     Starts(StartReport),
+    /// Starts without a known outcome; sent by the leader to followers.
+    NumberedStarts(NumberedReport),
 }
 
 /// A client, and the host and path that it called.
