plan: let a new leader wait for starts of runs that ended since the report

Cause: take_over_unresolved_starts took over only open starts with a known time. A run that the report lists as one that may be started further, and that is over when the next leader begins, counted as one without open starts: its task was begun elsewhere at once, and the upstream's next incarnation could carry out the earlier start beside it.

Such a start is now taken to be open for the time of late calls from the new leader's begin.

Test: the first start has no answer, the followers are told, the second start is answered and the run ends as stopped, the leader changes, the upstream starts again unseen and carries out the first start.

Not covered: a run that was assigned and has ended since the last report that arrived; the next leader knows nothing of it.

--- a/crates/plan/src/engine/start_handover.rs
+++ b/crates/plan/src/engine/start_handover.rs
@@ -2,7 +2,7 @@
     super::{
         Engine,
         engine::{RunKey, UnresolvedStart},
-        open_starts::OpenStarts,
+        open_starts::{LATE_CALL_LIMIT, OpenStarts},
     },
     std::time::{Duration, Instant},
     work::{
@@ -94,12 +94,15 @@
 
     /// Takes over the open starts of runs that are over.
     pub(super) fn take_over_unresolved_starts(&mut self, registry: &Registry) {
-        for ((task, run), (upstream, until)) in &self.inheritance.open {
-            if let (Some(until), None) = (*until, registry.run(task, *run)) {
-                let upstream = upstream.clone();
-                self.unresolved_starts
-                    .insert((*task, *run), UnresolvedStart { upstream, until });
-            }
+        let open = self.inheritance.open.iter();
+        for (key, (upstream, until)) in
+            open.filter(|((task, run), _)| registry.run(task, *run).is_none())
+        {
+            // The earlier leader may have sent further starts before the run was over.
+            let until = until.unwrap_or(self.now + LATE_CALL_LIMIT);
+            let upstream = upstream.clone();
+            let unresolved = UnresolvedStart { upstream, until };
+            self.unresolved_starts.insert(*key, unresolved);
         }
     }
 
--- a/crates/plan/tests/incarnations/starts.rs
+++ b/crates/plan/tests/incarnations/starts.rs
@@ -303,6 +303,27 @@
     assert!(waited_ms < LONGEST_LEASE_MS, "waited for {waited_ms} ms");
 }
 
+/// Guards against a task on two upstreams at once: its run had ended since the followers were told that further starts may be
+/// sent, and the next leader knew of no open start.
+#[test]
+fn a_new_leader_waits_for_starts_of_a_run_that_has_ended_since_the_report() {
+    let mut scene = Scene::new();
+    let late = open_start(&mut scene);
+    scene.tell();
+    scene.takes_starts = true;
+    scene.run_until(scene.now_ms + 400);
+    scene.node.end(Outcome::Stopped);
+    scene.run_until(scene.now_ms + 200);
+    assert_eq!(scene.registry.run(&sweep_task(), run_of(&late)), None);
+    scene.promote_follower();
+    scene.run_until(scene.now_ms + 400);
+    scene.crash();
+    scene.run_until(scene.now_ms + 600);
+    scene.restart_unseen();
+    scene.carry_out_late(late);
+    scene.assert_not_begun_elsewhere();
+}
+
 fn run_of((call, _): &(Call, u64)) -> u32 {
     match call {
         Call::Start(start) => start.run,
