--- a/crates/dispatch/src/leader/mod.rs
+++ b/crates/dispatch/src/leader/mod.rs
@@ -11,7 +11,8 @@
 pub use {
     driver::Driver,
     observer::Observer,
+    start_memory::StartMemory,
     term_engine::TermEngine,
     upstream_client::{Permit, UpstreamClient},
 };
-pub(crate) use {driver::Input, speed_memory::SpeedMemory, start_memory::StartMemory};
+pub(crate) use {driver::Input, speed_memory::SpeedMemory};
--- a/crates/plan/src/engine/drain.rs
+++ b/crates/plan/src/engine/drain.rs
@@ -119,7 +119,7 @@
 
     /// Whether an upstream has runs, or gets some by a proposal without a known outcome.
     pub(super) fn may_have_runs(&self, registry: &Registry, id: &id::Upstream) -> bool {
-        let mut proposed = self.proposed_placements.values().flatten();
+        let mut proposed = self.placements_under_way();
         registry.allocations_on(id).next().is_some()
             || proposed.any(|placement| placement.upstream == *id)
     }
--- a/crates/plan/src/engine/engine.rs
+++ b/crates/plan/src/engine/engine.rs
@@ -50,9 +50,18 @@
 #[derive(Clone, Debug)]
 pub(super) struct UnresolvedStart {
     pub upstream: id::Upstream,
+    /// Time after which it is not carried out.
     pub until: Instant,
 }
 
+/// Placements in a proposal without a known outcome.
+#[derive(Clone, Debug)]
+pub(super) struct Proposed {
+    pub placements: Vec<Placement>,
+    /// Time of the registry when they were proposed. Their runs are assigned then or later.
+    pub since_ms: u64,
+}
+
 /// A start that has no answer yet.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct StartCall {
@@ -88,7 +97,7 @@
     pub(super) stalls: Stalls,
     pub(super) first_runs: FirstRuns,
     /// Placements in proposals without a known outcome, by proposal.
-    pub(super) proposed_placements: IndexMap<u64, Vec<Placement>>,
+    pub(super) proposed_placements: IndexMap<u64, Proposed>,
     /// Runs that pending proposals void, by proposal, so that no run is voided twice.
     pub(super) proposed_voids: IndexMap<u64, Vec<RunKey>>,
     /// Upstreams whose ends are in a pending proposal, by proposal.
@@ -218,7 +227,7 @@
         self.send_holds(registry);
         self.expire(registry);
         self.report_first_runs();
-        self.propose_updates();
+        self.propose_updates(registry);
         self.cover_starts(registry);
         std::mem::take(&mut self.effects)
     }
@@ -328,6 +337,12 @@
         MAX_TOKEN_OFFSET.min(units as u64 + 1)
     }
 
+    /// Placements in proposals without a known outcome.
+    pub(super) fn placements_under_way(&self) -> impl Iterator<Item = &Placement> {
+        let proposed = self.proposed_placements.values();
+        proposed.flat_map(|proposed| &proposed.placements)
+    }
+
     /// Proposes that a run is over although no end was reported.
     pub(super) fn void(&mut self, registry: &Registry, key: RunKey, reason: Void) {
         if self
@@ -406,6 +421,7 @@
         self.stalls.discard_ended(is_open);
         self.speeds.prune(is_open);
         self.prune_first_runs(registry);
+        self.discard_unresolved_starts();
         let now = self.now;
         self.removed.retain(|_, at| now < *at + LATE_CALL_LIMIT);
         for (id, session) in &self.sessions {
@@ -424,7 +440,7 @@
     }
 
     /// Proposes the updates of this step.
-    fn propose_updates(&mut self) {
+    fn propose_updates(&mut self, registry: &Registry) {
         if self.updates.is_empty() {
             return;
         }
@@ -432,7 +448,12 @@
         let updates = std::mem::take(&mut self.updates);
         let placements = std::mem::take(&mut self.placements);
         if !placements.is_empty() {
-            self.proposed_placements.insert(proposal, placements);
+            let since_ms = registry.time_ms;
+            let proposed = Proposed {
+                placements,
+                since_ms,
+            };
+            self.proposed_placements.insert(proposal, proposed);
         }
         let voids = updates.iter().filter_map(|update| match update {
             Update::Void { task, run, .. } => Some((*task, *run)),
@@ -447,10 +468,10 @@
 
     /// Forgets a proposal whose outcome is known or will never be.
     pub(super) fn finish_proposal(&mut self, registry: &Registry, proposal: u64) {
-        let placements = self.proposed_placements.shift_remove(&proposal);
+        let proposed = self.proposed_placements.shift_remove(&proposal);
         self.proposed_voids.shift_remove(&proposal);
         // The proposal may have been committed although its outcome is unknown here.
-        for placement in placements.into_iter().flatten() {
+        for placement in proposed.iter().flat_map(|proposed| &proposed.placements) {
             self.track_live_runs(registry, &placement.task);
         }
         if let Some(upstream) = self.proposed_ends.shift_remove(&proposal)
--- a/crates/plan/src/engine/hold.rs
+++ b/crates/plan/src/engine/hold.rs
@@ -52,7 +52,8 @@
         if !has_runs && session.strays.is_empty() {
             let is_reachable = session.failures == 0;
             let reads_clock = is_reachable && session.is_clock_stale(self.now, &self.settings);
-            return match has_ends || reads_clock {
+            let settles_start = is_reachable && self.has_unsettled_start(id);
+            return match has_ends || reads_clock || settles_start {
                 true => Some(Duration::ZERO),
                 false => session.has_more_ends.then_some(SHORT_WAIT),
             };
@@ -204,6 +205,7 @@
             .iter()
             .map(|running| ((running.task, running.run), running))
             .collect();
+        self.settle_unresolved_starts(id, pending.sent, &running);
         self.stop_strays(registry, id, &running.keys().copied().collect::<Vec<_>>());
         let upstream = registry.upstream(id);
         let measured = upstream.zip(listing.clock_ms);
@@ -223,8 +225,9 @@
                 }
                 tracked.is_listed = true;
                 tracked.seen_at = now;
+                tracked.open_starts.record_contact(pending.sent);
                 if !matches!(tracked.phase, Phase::Sending { .. }) {
-                    tracked.open_starts.record_listed(pending.sent);
+                    tracked.open_starts.record_listed();
                 }
                 if !matches!(tracked.phase, Phase::Started { .. } | Phase::Sending { .. }) {
                     tracked.phase = Phase::Started { at: now };
@@ -252,9 +255,7 @@
 
     /// Stops runs whose unanswered starts were given up, in case a start reaches this incarnation of the upstream.
     fn block_unresolved_starts(&mut self, registry: &Registry, id: &id::Upstream) {
-        let now = self.now;
-        self.unresolved_starts
-            .retain(|_, unresolved| now < unresolved.until);
+        self.discard_unresolved_starts();
         let unresolved = self
             .unresolved_starts
             .iter()
@@ -410,7 +411,7 @@
             if listing.has_more_ends {
                 continue;
             }
-            let is_inherited = tracked.phase == Phase::Inherited;
+            let is_unsent = tracked.phase == Phase::Inherited && self.may_be_started(tracked);
             if self.is_over_when_absent(registry, key, tracked, sent) {
                 let reason = if is_restarted {
                     Void::Reborn
@@ -426,7 +427,7 @@
             {
                 self.stop(key, "reborn");
                 self.stop_gang(registry, key, "member_lost");
-            } else if is_inherited && let Some(tracked) = self.tracked_runs.get_mut(&key) {
+            } else if is_unsent && let Some(tracked) = self.tracked_runs.get_mut(&key) {
                 // The earlier leader may not have sent the start, or it is under way. The same start again does no harm.
                 tracked.phase = Phase::Unanswered { next: now };
             }
--- a/crates/plan/src/engine/open_starts.rs
+++ b/crates/plan/src/engine/open_starts.rs
@@ -49,16 +49,21 @@
         self.has_answer = true;
     }
 
-    /// Records that the upstream has listed the run in the answer to a call that was sent at the given time, while no answer
-    /// to a start was awaited. Each start is carried out once at most, and none after its time.
-    pub fn record_listed(&mut self, sent: Instant) {
-        let is_past = sent > self.until;
-        if is_past || (self.count == 1 && !self.has_answer) {
+    /// Records that the upstream has listed the run while no answer was awaited. Each start is carried out once at most.
+    pub fn record_listed(&mut self) {
+        if self.count == 1 && !self.has_answer {
             self.count = 0;
             self.has_answer = true;
         }
     }
 
+    /// Records that an incarnation has answered a call that was sent at the given time. Later ones begin after that.
+    pub fn record_contact(&mut self, sent: Instant) {
+        if sent > self.until {
+            self.count = 0;
+        }
+    }
+
     /// Records that nothing carries them out any more.
     pub fn clear(&mut self) {
         self.count = 0;
--- a/crates/plan/src/engine/start_handover.rs
+++ b/crates/plan/src/engine/start_handover.rs
@@ -2,8 +2,7 @@
     super::{
         Engine,
         engine::{RunKey, UnresolvedStart},
-        open_starts::OpenStarts,
-        tracked_run::{Phase, TrackedRun},
+        open_starts::{LATE_CALL_LIMIT, OpenStarts},
     },
     std::time::{Duration, Instant},
     work::{
@@ -26,13 +25,20 @@
 impl Inheritance {
     /// Open starts of a run that an earlier leader has assigned.
     pub fn open_starts(&self, key: RunKey, run: &Run, now: Instant) -> OpenStarts {
-        if run.assigned_ms >= self.covered_ms && !self.settled.contains(&key) {
+        if self.may_be_started(key, run) {
             return OpenStarts::inherited(now);
         }
         match self.open.get(&key) {
             Some((_, Some(until))) => OpenStarts::inherited_until(*until),
-            Some((_, None)) => OpenStarts::inherited(now),
-            None => OpenStarts::none(now),
+            _ => OpenStarts::none(now),
+        }
+    }
+
+    /// Whether the earlier leader may have sent starts of a run since it told of them, or none at all.
+    pub fn may_be_started(&self, key: RunKey, run: &Run) -> bool {
+        match self.open.get(&key) {
+            Some((_, until)) => until.is_none(),
+            None => run.assigned_ms >= self.covered_ms && !self.settled.contains(&key),
         }
     }
 }
@@ -45,18 +51,19 @@
         let mut settled = Vec::new();
         let mut tracked = Vec::new();
         for (key, run) in &self.tracked_runs {
-            let left_ms = left_ms(run.open_starts.until(), now);
-            if is_being_started(run) {
+            let left_ms = left_ms(self.late_until(run), now);
+            if self.may_be_started(run) {
                 tracked.push((*key, run.upstream.clone(), None));
             } else if left_ms.is_some() {
                 tracked.push((*key, run.upstream.clone(), left_ms));
-            } else if is_assigned_at(registry, *key, self.covered_ms) {
+            } else if is_assigned_since(registry, *key, self.covered_ms) {
                 settled.push(*key);
             }
         }
-        let over = self.unresolved_starts.iter().filter_map(|(key, start)| {
-            let left_ms = left_ms(Some(start.until), now)?;
-            Some((*key, start.upstream.clone(), Some(left_ms)))
+        let over = self.unresolved_starts.iter().map(|(key, start)| {
+            // What is past may still be at work.
+            let left_ms = left_ms(Some(start.until), now).unwrap_or(0);
+            (*key, start.upstream.clone(), Some(left_ms))
         });
         let open = tracked.into_iter().chain(over);
         let open = open.map(|((task, run), upstream, left_ms)| OpenStart {
@@ -88,35 +95,28 @@
 
     /// Takes over the open starts of runs that are over.
     pub(super) fn take_over_unresolved_starts(&mut self, registry: &Registry) {
-        for ((task, run), (upstream, until)) in &self.inheritance.open {
-            if let (Some(until), None) = (*until, registry.run(task, *run)) {
-                let upstream = upstream.clone();
-                self.unresolved_starts
-                    .insert((*task, *run), UnresolvedStart { upstream, until });
-            }
+        let open = self.inheritance.open.iter();
+        for (key, (upstream, until)) in
+            open.filter(|((task, run), _)| registry.run(task, *run).is_none())
+        {
+            // The earlier leader may have sent further starts before the run was over.
+            let until = until.unwrap_or(self.now + LATE_CALL_LIMIT);
+            let upstream = upstream.clone();
+            let unresolved = UnresolvedStart { upstream, until };
+            self.unresolved_starts.insert(*key, unresolved);
         }
     }
 
     /// Notes up to where the registry has no run that this leader may not know.
     pub(super) fn cover_starts(&mut self, registry: &Registry) {
-        if self.proposed_placements.is_empty() {
-            self.covered_ms = registry.time_ms;
-        }
-    }
-}
-
-/// Whether a leader may send further starts of a run.
-fn is_being_started(tracked: &TrackedRun) -> bool {
-    match tracked.phase {
-        Phase::Started { .. } => false,
-        Phase::Inherited => !tracked.open_starts.is_empty(),
-        Phase::Sending { .. } | Phase::Unanswered { .. } => true,
+        let oldest = self.proposed_placements.values().next();
+        self.covered_ms = oldest.map_or(registry.time_ms, |oldest| oldest.since_ms);
     }
 }
 
-fn is_assigned_at(registry: &Registry, (task, number): RunKey, at_ms: u64) -> bool {
+fn is_assigned_since(registry: &Registry, (task, number): RunKey, since_ms: u64) -> bool {
     let run = registry.run(&task, number);
-    run.is_some_and(|run| run.assigned_ms == at_ms)
+    run.is_some_and(|run| run.assigned_ms >= since_ms)
 }
 
 fn left_ms(until: Option<Instant>, now: Instant) -> Option<u32> {
