Revert "plan: wait for the lease of an open start whose run is over"

After a change of leader without a report every inherited run counts as one with an open start, and its task then waited for late calls to the upstream, whose time moves on with each hold, and once more with the next leader.

--- a/crates/plan/src/engine/engine.rs
+++ b/crates/plan/src/engine/engine.rs
@@ -50,7 +50,6 @@
 #[derive(Clone, Debug)]
 pub(super) struct UnresolvedStart {
     pub upstream: id::Upstream,
-    /// Time after which it is not carried out.
     pub until: Instant,
 }
 
@@ -421,7 +420,6 @@
         self.stalls.discard_ended(is_open);
         self.speeds.prune(is_open);
         self.prune_first_runs(registry);
-        self.discard_unresolved_starts();
         let now = self.now;
         self.removed.retain(|_, at| now < *at + LATE_CALL_LIMIT);
         for (id, session) in &self.sessions {
--- a/crates/plan/src/engine/expiry.rs
+++ b/crates/plan/src/engine/expiry.rs
@@ -1,13 +1,12 @@
 use {
     super::{
-        Engine, Running,
-        engine::{RunKey, UnresolvedStart},
+        Engine,
+        engine::RunKey,
         session::{Session, expired_after},
         tracked_run::{Phase, StopOrder, TrackedRun},
     },
     std::time::Instant,
     work::{
-        collections::IndexMap,
         id,
         registry::{Registry, State, Void},
     },
@@ -54,61 +53,9 @@
     /// Time after which no call gives a lease to a run that an open start begins; none if no start of it is open.
     pub(super) fn late_until(&self, tracked: &TrackedRun) -> Option<Instant> {
         let until = tracked.open_starts.until()?;
-        Some(self.latest_call(&tracked.upstream, until))
-    }
-
-    /// Time after which no call gives a lease to what a start begins that is carried out until the given time.
-    fn latest_call(&self, upstream: &id::Upstream, until: Instant) -> Instant {
         // Late calls give the lease of whatever incarnation carries out the start.
-        let session = self.sessions.get(upstream);
-        session.map_or(until, |session| session.late_calls_until().max(until))
-    }
-
-    /// Time after which an upstream does not run what an open start of a run that is over has begun.
-    fn unresolved_over_at(&self, start: &UnresolvedStart) -> Instant {
-        let latest = self.latest_call(&start.upstream, start.until);
-        latest + expired_after(self.settings.max_lease)
-    }
-
-    /// Forgets the open starts of runs that are over which nothing can have begun any more, or whose lease is over.
-    pub(super) fn discard_unresolved_starts(&mut self) {
-        let starts = self.unresolved_starts.iter();
-        let past = starts.filter(|(_, start)| self.now > self.unresolved_over_at(start));
-        let past: Vec<RunKey> = past.map(|(key, _)| *key).collect();
-        for key in past {
-            self.unresolved_starts.shift_remove(&key);
-        }
-    }
-
-    /// Forgets the open starts of runs that are over on an upstream that answers later than they can be carried out, and does
-    /// not list the runs. The list answers a call that was sent at the given time.
-    pub(super) fn settle_unresolved_starts(
-        &mut self,
-        upstream: &id::Upstream,
-        sent: Instant,
-        running: &IndexMap<RunKey, &Running>,
-    ) {
-        let session = self.sessions.get_mut(upstream);
-        let Some(session) = session.filter(|session| session.has_open_start()) else {
-            return;
-        };
-        self.unresolved_starts.retain(|key, start| {
-            start.upstream != *upstream || sent <= start.until || running.contains_key(key)
-        });
-        let mut starts = self.unresolved_starts.values();
-        if starts.all(|start| start.upstream != *upstream) {
-            session.clear_open_starts();
-        }
-    }
-
-    /// Whether an upstream has to answer to settle an open start of a run that is over.
-    pub(super) fn has_unsettled_start(&self, upstream: &id::Upstream) -> bool {
-        let session = self.sessions.get(upstream);
-        if !session.is_some_and(Session::has_open_start) {
-            return false;
-        }
-        let mut starts = self.unresolved_starts.values();
-        starts.any(|start| start.upstream == *upstream && self.now > start.until)
+        let session = self.sessions.get(&tracked.upstream);
+        Some(session.map_or(until, |session| session.late_calls_until().max(until)))
     }
 
     /// Whether this leader may send further starts of a run.
@@ -152,10 +99,10 @@
         }
     }
 
-    /// Tasks that may not be started yet: a start of a run that is over may still be carried out, or be at work.
+    /// Tasks that may not be started yet: a start of a run that is over may still be carried out.
     pub(super) fn tasks_with_open_starts(&self, registry: &Registry) -> Vec<id::Task> {
         let open = self.unresolved_starts.iter();
-        let open = open.filter(|(_, start)| self.now <= self.unresolved_over_at(start));
+        let open = open.filter(|(_, start)| self.now <= start.until);
         let tasks = open.map(|((task, _), _)| *task);
         tasks.filter(|task| must_run_once(registry, task)).collect()
     }
--- a/crates/plan/src/engine/hold.rs
+++ b/crates/plan/src/engine/hold.rs
@@ -52,8 +52,7 @@
         if !has_runs && session.strays.is_empty() {
             let is_reachable = session.failures == 0;
             let reads_clock = is_reachable && session.is_clock_stale(self.now, &self.settings);
-            let settles_start = is_reachable && self.has_unsettled_start(id);
-            return match has_ends || reads_clock || settles_start {
+            return match has_ends || reads_clock {
                 true => Some(Duration::ZERO),
                 false => session.has_more_ends.then_some(SHORT_WAIT),
             };
@@ -205,7 +204,6 @@
             .iter()
             .map(|running| ((running.task, running.run), running))
             .collect();
-        self.settle_unresolved_starts(id, pending.sent, &running);
         self.stop_strays(registry, id, &running.keys().copied().collect::<Vec<_>>());
         let upstream = registry.upstream(id);
         let measured = upstream.zip(listing.clock_ms);
@@ -255,7 +253,9 @@
 
     /// Stops runs whose unanswered starts were given up, in case a start reaches this incarnation of the upstream.
     fn block_unresolved_starts(&mut self, registry: &Registry, id: &id::Upstream) {
-        self.discard_unresolved_starts();
+        let now = self.now;
+        self.unresolved_starts
+            .retain(|_, unresolved| now < unresolved.until);
         let unresolved = self
             .unresolved_starts
             .iter()
--- a/crates/plan/src/engine/session.rs
+++ b/crates/plan/src/engine/session.rs
@@ -216,16 +216,6 @@
         self.open_start_until = self.open_start_until.max(Some(until));
     }
 
-    /// Whether a start of a run that is over there may have been open since it last answered.
-    pub fn has_open_start(&self) -> bool {
-        self.open_start_until.is_some()
-    }
-
-    /// Records that no start of a run that is over there is open.
-    pub fn clear_open_starts(&mut self) {
-        self.open_start_until = None;
-    }
-
     /// Records an answered hold.
     pub fn record_answer(&mut self, now: Instant) {
         self.last_heard = now;
--- a/crates/plan/src/engine/start_handover.rs
+++ b/crates/plan/src/engine/start_handover.rs
@@ -60,10 +60,9 @@
                 settled.push(*key);
             }
         }
-        let over = self.unresolved_starts.iter().map(|(key, start)| {
-            // What is past may still be at work.
-            let left_ms = left_ms(Some(start.until), now).unwrap_or(0);
-            (*key, start.upstream.clone(), Some(left_ms))
+        let over = self.unresolved_starts.iter().filter_map(|(key, start)| {
+            let left_ms = left_ms(Some(start.until), now)?;
+            Some((*key, start.upstream.clone(), Some(left_ms)))
         });
         let open = tracked.into_iter().chain(over);
         let open = open.map(|((task, run), upstream, left_ms)| OpenStart {
