soak: take note of no end past a lapse of its upstream's lease

Change: the upstream keeps the number of its last end before the last lapse; a hold notes only ends after that one. What was noted stays noted. Ends that are due are carried out before each order that may extend the lease: until now a start or hold that came up to 10 ms after the lapse revived the runs, and the lapse was not seen.

The new test fails without the change ("was started after it was done", a lease of 0.7 s) and passes with it; with a lease of 5 s the end counts in both.

--- a/crates/daemon/tests/soak/main.rs
+++ b/crates/daemon/tests/soak/main.rs
@@ -22,11 +22,17 @@
     caller::Work,
     cluster::Cluster,
     rand::{RngExt, SeedableRng, rngs::StdRng},
+    serde_json::json,
     std::{
         ops::Range,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
         thread,
         time::{Duration, Instant},
     },
+    upstream::Upstream,
 };
 
 /// Time after the last fault in which every accepted job must end.
@@ -90,6 +96,40 @@
     assert_eq!(judge.breaches(), expected);
 }
 
+/// Guards against an oracle that takes note of an end although the lease was over in between, or of none.
+#[test]
+fn an_end_is_noted_unless_the_lease_was_over_before() {
+    let breaches = |lease_ms: u64| {
+        let (judge, over) = (Arc::default(), Arc::<AtomicBool>::default());
+        let nobody = "127.0.0.1:1".parse().unwrap();
+        let link = Upstream::spawn(0, Duration::ZERO, &[nobody], &judge, &over);
+        let call = |request: &str, body: serde_json::Value| {
+            let address = link.proxy.address;
+            let limit = Duration::from_secs(5);
+            let answer = exchange::call(address, request, "Host: c\r\n", &body.to_string(), limit);
+            assert_eq!(answer.unwrap().status(), 200);
+        };
+        let task = "000000000000000a.0.0.0";
+        judge.submitted("000000000000000a");
+        call(
+            "POST /run-start",
+            json!({"task": task, "run": 1, "deadlineMs": lease_ms, "fencingToken": 1}),
+        );
+        thread::sleep(Duration::from_secs(1));
+        call("POST /hold", json!({"fencingToken": 1, "lastSeen": 1}));
+        let start = judge::Start {
+            fits: true,
+            is_late: false,
+        };
+        judge.begun(1, task, start);
+        over.store(true, Ordering::Relaxed);
+        judge.breaches()
+    };
+    assert_eq!(breaches(700), [""; 0]);
+    let expected = ["000000000000000a.0.0.0 was started after it was done"];
+    assert_eq!(breaches(5000), expected);
+}
+
 /// Guards against promises broken by faults in series that the model does not know: real sockets, signals and disks.
 #[test]
 fn promises_hold_under_faults_from_outside() {
--- a/crates/daemon/tests/soak/upstream.rs
+++ b/crates/daemon/tests/soak/upstream.rs
@@ -47,6 +47,8 @@
     origin: Instant,
     model: Mutex<Model>,
     sequence: Mutex<u64>,
+    /// Number of the last end before the lease was over for the last time: a later note of it does not count.
+    lapsed_end: AtomicU64,
     is_up: AtomicBool,
     /// Whether its heartbeats reach the instances.
     is_heard: AtomicBool,
@@ -80,6 +82,7 @@
             origin: Instant::now(),
             model: Mutex::new(model),
             sequence: Mutex::new(0),
+            lapsed_end: AtomicU64::new(0),
             is_up: AtomicBool::new(true),
             is_heard: AtomicBool::new(true),
             late_percent: AtomicU64::new(0),
@@ -98,7 +101,7 @@
         let announcer = upstream.clone();
         thread::spawn(move || {
             while !ticking.load(Ordering::Relaxed) {
-                ticker.end_due();
+                ticker.end_due(&mut ticker.model(), ticker.now_ms());
                 thread::sleep(Duration::from_millis(10));
             }
         });
@@ -143,6 +146,7 @@
         model.reborn(self.now_ms());
         model.born_ms = unix_ms(self.behind);
         *self.sequence() = 0;
+        self.lapsed_end.store(0, Ordering::Relaxed);
         self.is_up.store(true, Ordering::Relaxed);
     }
 
@@ -255,8 +259,9 @@
             checkpoint: String::new(),
             ticket: None,
         };
-        let now_ms = self.now_ms();
         let mut model = self.model();
+        let now_ms = self.now_ms();
+        self.end_due(&mut model, now_ms);
         if model.start(&order, token, now_ms)? {
             let run = sim::Run {
                 work_ms: match body["spec"].as_str() {
@@ -291,12 +296,14 @@
             wait: Duration::ZERO,
         };
         let (noted, born_ms): (Vec<String>, u64) = {
-            let now_ms = self.now_ms();
             let mut model = self.model();
+            let now_ms = self.now_ms();
+            self.end_due(&mut model, now_ms);
+            let bound = self.lapsed_end.load(Ordering::Relaxed) + 1..=last_end;
             let ends = model
                 .ends
                 .iter()
-                .filter(|end| end.number <= last_end && end.how == Outcome::Done);
+                .filter(|end| bound.contains(&end.number) && end.how == Outcome::Done);
             let noted = ends.map(|end| end.task.to_string()).collect();
             if let Err(refusal) = model.hold(&order, token, now_ms) {
                 drop(model);
@@ -339,10 +346,9 @@
         Some((200, answer.to_string()))
     }
 
-    /// Ends what is done, stopped or without a lease.
-    fn end_due(&self) {
-        let now_ms = self.now_ms();
-        let mut model = self.model();
+    /// Ends what is done, stopped or without a lease. Called before each order that may extend the lease, so that none revives
+    /// what has lost it.
+    fn end_due(&self, model: &mut Model, now_ms: f64) {
         let lapsed = model.clock_ms(now_ms) > model.lease_ms;
         let due = model.runs.iter().filter_map(|(key, run)| {
             let how = if lapsed {
@@ -360,6 +366,9 @@
             model.end(key, how, now_ms);
             self.judge.over(self.number, &key.0.to_string());
         }
+        if lapsed {
+            self.lapsed_end.store(model.last_end, Ordering::Relaxed);
+        }
     }
 }
 
