soak: see starts between an end and the note of it

The judge saw only starts after the note. It now also reports a start that came between the end and the note, by the number of starts at the end. The planted breaches contain one.

--- a/crates/daemon/tests/soak/judge.rs
+++ b/crates/daemon/tests/soak/judge.rs
@@ -30,8 +30,12 @@
     breaches: Vec<String>,
     /// Upstreams on which each task runs.
     running: BTreeMap<String, BTreeSet<usize>>,
+    /// Starts of each task.
+    starts: BTreeMap<String, usize>,
+    /// Upstream and task of the runs that ended as done, and how often the task had been started then.
+    done: BTreeMap<(usize, String), usize>,
     /// Tasks whose end as done was taken note of.
-    done: BTreeSet<String>,
+    noted: BTreeSet<String>,
     submitted: BTreeSet<String>,
     version: u64,
     /// The evacuated zone, and when that was acknowledged.
@@ -75,7 +79,8 @@
             seen.breaches
                 .push(format!("{task} was started in the evacuated zone {zone}"));
         }
-        if seen.done.contains(task) {
+        *seen.starts.entry(task.to_owned()).or_default() += 1;
+        if seen.noted.contains(task) {
             seen.breaches
                 .push(format!("{task} was started after it was done"));
         }
@@ -94,9 +99,24 @@
         }
     }
 
-    /// The end of a task as done was taken note of.
-    pub fn noted(&self, task: &str) {
-        self.seen().done.insert(task.to_owned());
+    /// A run has ended as done on an upstream.
+    pub fn done(&self, upstream: usize, task: &str) {
+        let mut seen = self.seen();
+        let starts = seen.starts.get(task).copied().unwrap_or(0);
+        seen.done.insert((upstream, task.to_owned()), starts);
+    }
+
+    /// The end of a task as done on an upstream is taken note of, now if not before.
+    pub fn noted(&self, upstream: usize, task: &str) {
+        let mut seen = self.seen();
+        let starts = seen.starts.get(task).copied();
+        let starts_then = seen.done.get(&(upstream, task.to_owned())).copied();
+        seen.noted.insert(task.to_owned());
+        if starts > starts_then {
+            seen.breaches.push(format!(
+                "{task} was started between its end as done and the note of it"
+            ));
+        }
     }
 
     /// An operator's configuration was acknowledged.
--- a/crates/daemon/tests/soak/main.rs
+++ b/crates/daemon/tests/soak/main.rs
@@ -78,7 +78,8 @@
     judge.begun(1, "a.0.0.0", start);
     judge.over(0, "a.0.0.0");
     judge.over(1, "a.0.0.0");
-    judge.noted("a.0.0.0");
+    judge.done(1, "a.0.0.0");
+    judge.noted(1, "a.0.0.0");
     judge.begun(1, "a.0.0.0", overfull);
     judge.begun(2, "b.0.0.0", start);
     let long_ago = Instant::now().checked_sub(Duration::from_secs(9));
@@ -86,12 +87,17 @@
     judge.submitted("c");
     judge.begun(0, "c.0.0.0", start);
     judge.begun(3, "c.0.0.1", start);
+    judge.over(0, "c.0.0.0");
+    judge.done(0, "c.0.0.0");
+    judge.begun(0, "c.0.0.0", start);
+    judge.noted(0, "c.0.0.0");
     let expected = [
         "a.0.0.0 runs on {0, 1}",
         "a.0.0.0 overfills upstream 1",
         "a.0.0.0 was started after it was done",
         "b.0.0.0 was not asked for",
         "c.0.0.1 was started in the evacuated zone 1",
+        "c.0.0.0 was started between its end as done and the note of it",
     ];
     assert_eq!(judge.breaches(), expected);
 }
--- a/crates/daemon/tests/soak/upstream.rs
+++ b/crates/daemon/tests/soak/upstream.rs
@@ -312,7 +312,7 @@
             (noted, model.born_ms)
         };
         for task in noted {
-            self.judge.noted(&task);
+            self.judge.noted(self.number, &task);
         }
         let until = Instant::now() + Duration::from_millis(body["waitMs"].as_u64().unwrap_or(0));
         while Instant::now() < until && self.model().ends.is_empty() {
@@ -364,7 +364,11 @@
         });
         for (key, how) in due.collect::<Vec<_>>() {
             model.end(key, how, now_ms);
-            self.judge.over(self.number, &key.0.to_string());
+            let task = key.0.to_string();
+            self.judge.over(self.number, &task);
+            if how == Outcome::Done {
+                self.judge.done(self.number, &task);
+            }
         }
         if lapsed {
             self.lapsed_end.store(model.last_end, Ordering::Relaxed);
