soak: let no start be carried out by an incarnation that has ended

The stand-in looked at is_up before it took the lock of its model, so a crash in between left a run on an upstream that is down; the judge counts such a run as at work for ever. Not seen in a play; found by reading. The state is now read under the lock under which a crash sets it.

--- a/crates/daemon/tests/soak/upstream.rs
+++ b/crates/daemon/tests/soak/upstream.rs
@@ -216,7 +216,7 @@
         let token = body["fencingToken"].as_u64().unwrap_or(0);
         let path = request.start.split(' ').nth(1).unwrap_or_default();
         let result = match path {
-            "/run-start" => self.start(&body, token, is_late),
+            "/run-start" => self.start(&body, token, is_late)?,
             "/run-stop" => {
                 let stop = Stop {
                     task: name(&body).parse().unwrap(),
@@ -249,7 +249,8 @@
         }
     }
 
-    fn start(&self, body: &Value, token: u64, is_late: bool) -> Result<(), Refusal> {
+    /// Carries out a start; none if the incarnation has ended meanwhile.
+    fn start(&self, body: &Value, token: u64, is_late: bool) -> Option<Result<(), Refusal>> {
         let task: id::Task = name(body).parse().unwrap();
         let order = Start {
             task,
@@ -261,8 +262,12 @@
         };
         let mut model = self.model();
         let now_ms = self.now_ms();
+        if !self.is_up.load(Ordering::Relaxed) {
+            return None;
+        }
         self.end_due(&mut model, now_ms);
-        if model.start(&order, token, now_ms)? {
+        let result = model.start(&order, token, now_ms);
+        if result == Ok(true) {
             let run = sim::Run {
                 work_ms: match body["spec"].as_str() {
                     Some(LONG) => LONG_WORK_MS,
@@ -285,7 +290,7 @@
             let start = judge::Start { fits, is_late };
             self.judge.begun(self.number, &task.to_string(), start);
         }
-        Ok(())
+        Some(result.map(|_| ()))
     }
 
     fn hold(&self, body: &Value, token: u64) -> Option<(u16, String)> {
