soak: let upstreams drain, deregister and end, red

Until now no upstream of the soak left as planned. Now the one with the most runs, and at times another one, says that it drains (0.5 to 4 s), deregisters and ends on the acknowledgement; six in ten get none and work on for 1 to 4 s, answer holds and starts, and end then. They start again under their ids. A control instance is killed in three of ten. The judge is that of two runs at once on upstreams that are up.

Half of the jobs last until they are cancelled: a drain stops no task that lasts, so these are at work when their upstream deregisters.

Cause: control/answer.rs deregister() commits Command::Leave, which removes the runs from the registry, and the next round starts their tasks elsewhere; the acknowledgement is sent after the commit, and nothing waits for the end of the upstream or its lease.

--- a/crates/daemon/tests/soak/caller.rs
+++ b/crates/daemon/tests/soak/caller.rs
@@ -1,5 +1,9 @@
 use {
-    super::{exchange, judge::Judge, upstream::LONG},
+    super::{
+        exchange,
+        judge::Judge,
+        upstream::{LASTING, LONG},
+    },
     rand::{RngExt, SeedableRng, rngs::StdRng},
     serde_json::json,
     std::{
@@ -28,6 +32,9 @@
     Short,
     /// Jobs of tasks that take longer than a lease.
     Long,
+    /// The same and jobs that last until they are cancelled, with room left for the tasks that an upstream loses: they can
+    /// start elsewhere at once.
+    Sparse,
 }
 
 impl Work {
@@ -40,7 +47,14 @@
                     {"count": 1, "cpu": 500, "memMb": 10, "gpu": 1, "estimateMs": 400, "after": [0]},
                 ],
             }),
-            Work::Long => json!({
+            Work::Sparse if rng.random_bool(0.5) => json!({
+                "spec": LASTING,
+                "steps": [{
+                    "count": rng.random_range(1..3), "cpu": 500, "memMb": 10, "gpu": 1, "estimateMs": 8000,
+                    "longRunning": true,
+                }],
+            }),
+            Work::Long | Work::Sparse => json!({
                 "spec": LONG,
                 "steps": [
                     {"count": rng.random_range(1..3), "cpu": 500, "memMb": 10, "gpu": 1, "estimateMs": 8000},
@@ -54,6 +68,7 @@
         match self {
             Work::Short => 20..300,
             Work::Long => 1000..5000,
+            Work::Sparse => 4000..8000,
         }
     }
 }
@@ -102,18 +117,35 @@
     while Instant::now() < end {
         let job = format!("{:016x}", rng.random::<u64>());
         let body = work.draw(rng);
+        let lasts = body["spec"] == LASTING;
         judge.submitted(&job);
         for attempt in 0..TRIES {
             let front = fronts[(number + attempt) % fronts.len()];
             let request = format!("POST /jobs/{job}");
             let answer = exchange::call(front, &request, HEADERS, &body.to_string(), LIMIT);
             if answer.is_ok_and(|answer| answer.status() == 200) {
-                accepted.push(job.clone());
+                if !lasts {
+                    accepted.push(job.clone());
+                }
                 break;
             }
             thread::sleep(Duration::from_millis(rng.random_range(50..400)));
         }
         thread::sleep(Duration::from_millis(rng.random_range(work.pause_ms())));
+        if lasts {
+            cancel(&job, fronts);
+        }
     }
     accepted
 }
+
+/// Cancels a job; tries a few times until that is acknowledged.
+fn cancel(job: &str, fronts: &[SocketAddr]) {
+    let request = format!("DELETE /jobs/{job}");
+    let is_cancelled = |front: &SocketAddr| {
+        let answer = exchange::call(*front, &request, HEADERS, "", LIMIT);
+        answer.is_ok_and(|answer| matches!(answer.status(), 200 | 410))
+    };
+    // A job that is not cancelled works on to the end of the soak.
+    let _ = fronts.iter().cycle().take(TRIES).any(is_cancelled);
+}
--- a/crates/daemon/tests/soak/fault.rs
+++ b/crates/daemon/tests/soak/fault.rs
@@ -3,11 +3,14 @@
         cluster::{CONTROLS, Cluster},
         judge::ZONE,
         proxy::Weather,
-        upstream::Link,
+        upstream::{Departure, Link},
     },
     rand::{RngExt, rngs::StdRng},
     rustix::process::Signal,
-    std::{thread, time::Duration},
+    std::{
+        thread,
+        time::{Duration, Instant},
+    },
 };
 
 /// Lets one fault begin. At most two control instances are harmed at a time, as the settings allow; the harm of the
@@ -106,6 +109,43 @@
     pause(rng.random_range(500..2000));
 }
 
+/// Lets the upstream with the most runs, and another one or not, drain, deregister and end. Some get no acknowledgement and go on
+/// for a while. They start again under their ids. A control instance is killed meanwhile or not.
+pub fn leave(cluster: &mut Cluster, rng: &mut StdRng) {
+    let pause = |ms| thread::sleep(Duration::from_millis(ms));
+    let count = cluster.upstreams.len();
+    let runs = |number: &usize| cluster.upstreams[*number].upstream.count_runs();
+    let first = (0..count).max_by_key(runs).unwrap();
+    let mut leaving = vec![first];
+    if rng.random_bool(0.3) {
+        leaving.push((first + rng.random_range(1..count)) % count);
+    }
+    for number in &leaving {
+        let drain = Duration::from_millis(rng.random_range(500..4000));
+        cluster.upstreams[*number].upstream.depart(Departure {
+            at: Instant::now() + drain,
+            is_acknowledged: rng.random_bool(0.4),
+            overtime: Duration::from_millis(rng.random_range(1000..4000)),
+        });
+    }
+    if rng.random_bool(0.3) {
+        pause(rng.random_range(100..3000));
+        cluster.controls[rng.random_range(0..CONTROLS)].end(Signal::KILL);
+    }
+    while leaving
+        .iter()
+        .any(|number| cluster.upstreams[*number].upstream.is_up())
+    {
+        pause(20);
+    }
+    pause(rng.random_range(100..2000));
+    for number in leaving {
+        cluster.upstreams[number].upstream.restart();
+    }
+    cluster.mend();
+    pause(rng.random_range(500..3000));
+}
+
 /// Lets upstreams start again under their ids; later connections to them fare as `weather` says.
 fn restart(upstreams: &[Link], weather: Weather, rng: &mut StdRng) {
     for link in upstreams {
--- a/crates/daemon/tests/soak/main.rs
+++ b/crates/daemon/tests/soak/main.rs
@@ -151,6 +151,13 @@
     assert!(failed.is_empty(), "{failed:#?}");
 }
 
+/// Guards against tasks on two upstreams at once: an upstream that has deregistered works on until it ends.
+#[test]
+fn nothing_runs_twice_when_upstreams_leave() {
+    let failed = failed_seeds(|seed| play(seed, Work::Sparse, fault::leave));
+    assert!(failed.is_empty(), "{failed:#?}");
+}
+
 fn failed_seeds(play: impl Fn(u64) -> Vec<String>) -> Vec<(u64, Vec<String>)> {
     let mut failed = Vec::new();
     for seed in seeds() {
--- a/crates/daemon/tests/soak/upstream.rs
+++ b/crates/daemon/tests/soak/upstream.rs
@@ -32,6 +32,9 @@
 /// Text of the jobs with long tasks.
 pub const LONG: &str = "long";
 
+/// Text of the jobs whose tasks last until they are cancelled.
+pub const LASTING: &str = "lasting";
+
 /// Longest delay of a call that is carried out late, in milliseconds, as the platform documents it.
 const MAX_DELAY_MS: u64 = 12_000;
 
@@ -41,6 +44,23 @@
 /// Interval of heartbeats.
 const HEARTBEAT: Duration = Duration::from_millis(500);
 
+/// Wait for the answer to a report about itself.
+const REPORT_LIMIT: Duration = Duration::from_secs(1);
+
+/// Calls of an upstream that leaves, until one is acknowledged.
+const DEREGISTER_TRIES: usize = 3;
+
+/// A planned end of an upstream.
+#[derive(Clone, Copy, Debug)]
+pub struct Departure {
+    /// When it deregisters.
+    pub at: Instant,
+    /// Whether the acknowledgement of that reaches it.
+    pub is_acknowledged: bool,
+    /// Time for which it goes on without an acknowledgement.
+    pub overtime: Duration,
+}
+
 /// A stand-in upstream: the model of `sim` on real time, behind a proxy.
 pub struct Upstream {
     number: usize,
@@ -52,6 +72,7 @@
     is_up: AtomicBool,
     /// Whether its heartbeats reach the instances.
     is_heard: AtomicBool,
+    departure: Mutex<Option<Departure>>,
     /// Share of the calls that get no answer and are carried out late, in percent.
     late_percent: AtomicU64,
     /// Time by which its time of day is behind that of the instances.
@@ -85,6 +106,7 @@
             lapsed_end: AtomicU64::new(0),
             is_up: AtomicBool::new(true),
             is_heard: AtomicBool::new(true),
+            departure: Mutex::new(None),
             late_percent: AtomicU64::new(0),
             behind,
             rng: Mutex::new(StdRng::seed_from_u64(number as u64)),
@@ -110,11 +132,7 @@
                 if announcing.load(Ordering::Relaxed) {
                     return;
                 }
-                if announcer.is_up.load(Ordering::Relaxed)
-                    && announcer.is_heard.load(Ordering::Relaxed)
-                {
-                    announcer.announce(controls[turn % controls.len()], announced);
-                }
+                announcer.report(&controls, turn, announced);
                 thread::sleep(HEARTBEAT);
             }
         });
@@ -131,6 +149,21 @@
         self.is_heard.store(is_heard, Ordering::Relaxed);
     }
 
+    /// Lets it drain, deregister and end.
+    pub fn depart(&self, departure: Departure) {
+        *self.departure() = Some(departure);
+    }
+
+    /// Whether an incarnation is there.
+    pub fn is_up(&self) -> bool {
+        self.is_up.load(Ordering::Relaxed)
+    }
+
+    /// Number of its runs.
+    pub fn count_runs(&self) -> usize {
+        self.model().runs.len()
+    }
+
     /// Ends the incarnation with all that it runs.
     pub fn crash(&self) {
         let mut model = self.model();
@@ -150,6 +183,12 @@
         self.is_up.store(true, Ordering::Relaxed);
     }
 
+    fn departure(&self) -> MutexGuard<'_, Option<Departure>> {
+        self.departure
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn sequence(&self) -> MutexGuard<'_, u64> {
         self.sequence.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -166,7 +205,42 @@
         self.origin.elapsed().as_secs_f64() * 1000.0
     }
 
-    fn announce(&self, control: SocketAddr, address: SocketAddr) {
+    /// Says to the instance whose turn it is how it is, or that it leaves.
+    fn report(&self, controls: &[SocketAddr], turn: usize, address: SocketAddr) {
+        if !self.is_up() || !self.is_heard.load(Ordering::Relaxed) {
+            return;
+        }
+        let departure = *self.departure();
+        match departure.filter(|departure| departure.at <= Instant::now()) {
+            Some(departure) => self.deregister(controls, turn, departure),
+            None => self.announce(controls[turn % controls.len()], address, departure),
+        }
+    }
+
+    /// Leaves and ends, without an acknowledgement only after a while. Calls a few instances until one acknowledges.
+    fn deregister(&self, controls: &[SocketAddr], turn: usize, departure: Departure) {
+        let body = json!({ "born": self.model().born_ms }).to_string();
+        let request = format!("POST /Instances.Deregister/u{}", self.number);
+        let next = controls.iter().cycle().skip(turn % controls.len());
+        let is_acknowledged = next.take(DEREGISTER_TRIES).any(|control| {
+            let answer = exchange::call(*control, &request, "Host: c\r\n", &body, REPORT_LIMIT);
+            answer.is_ok_and(|answer| answer.status() == 200)
+        });
+        if !departure.is_acknowledged || !is_acknowledged {
+            thread::sleep(departure.overtime);
+        }
+        *self.departure() = None;
+        self.crash();
+    }
+
+    fn announce(&self, control: SocketAddr, address: SocketAddr, departure: Option<Departure>) {
+        let (state, remaining_ms) = match departure {
+            Some(Departure { at, .. }) => {
+                let left = at.saturating_duration_since(Instant::now());
+                ("draining", Some(left.as_millis() as u64))
+            }
+            None => ("ready", None),
+        };
         let (born_ms, clock_ms, sequence) = {
             let model = self.model();
             let mut sequence = self.sequence();
@@ -175,7 +249,7 @@
         };
         let body = json!({
             "service": "pool", "address": address.to_string(), "zone": format!("z{}", self.number / ZONE), "version": "v1", "slots": 4,
-            "state": "ready", "coldRemainingMs": 0,
+            "state": state, "remainingMs": remaining_ms, "coldRemainingMs": 0,
             "capacity": {"cpu": CAPACITY * 1000, "memMb": 1000, "gpu": CAPACITY},
             "labels": ["a", format!("r{}", self.number / 2)], "clockMs": clock_ms,
             "sequence": sequence, "born": born_ms,
@@ -187,7 +261,7 @@
             &request,
             "Host: c\r\n",
             &body.to_string(),
-            Duration::from_secs(1),
+            REPORT_LIMIT,
         ));
     }
 
@@ -201,12 +275,13 @@
         };
         if let Some(delay_ms) = delay_ms {
             thread::sleep(Duration::from_millis(delay_ms));
-            while !self.is_up.load(Ordering::Relaxed) {
+            while !self.is_up() {
                 thread::sleep(Duration::from_millis(10));
             }
         }
-        let is_up = self.is_up.load(Ordering::Relaxed);
-        let answer = is_up.then(|| self.carry_out(request, delay_ms.is_some()))?;
+        let answer = self
+            .is_up()
+            .then(|| self.carry_out(request, delay_ms.is_some()))?;
         answer.filter(|_| delay_ms.is_none())
     }
 
@@ -262,7 +337,7 @@
         };
         let mut model = self.model();
         let now_ms = self.now_ms();
-        if !self.is_up.load(Ordering::Relaxed) {
+        if !self.is_up() {
             return None;
         }
         self.end_due(&mut model, now_ms);
@@ -271,6 +346,7 @@
             let run = sim::Run {
                 work_ms: match body["spec"].as_str() {
                     Some(LONG) => LONG_WORK_MS,
+                    Some(LASTING) => f64::INFINITY,
                     _ => WORK_MS,
                 },
                 done_ms: 0.0,
@@ -323,14 +399,27 @@
         while Instant::now() < until && self.model().ends.is_empty() {
             thread::sleep(Duration::from_millis(10));
         }
-        let held = self.model().list(self.now_ms());
+        let (held, lasting) = {
+            let model = self.model();
+            let lasting = model
+                .runs
+                .iter()
+                .filter(|(_, run)| run.work_ms.is_infinite());
+            let lasting: Vec<_> = lasting.map(|(key, _)| *key).collect();
+            (model.list(self.now_ms()), lasting)
+        };
         if held.born_ms != Some(born_ms) {
             return None;
         }
         let running: Vec<Value> = held
             .running
             .iter()
-            .map(|run| json!([run.task.to_string(), run.run, run.checkpoint, run.percent]))
+            .map(|run| {
+                // One that lasts is at work as soon as it has begun.
+                let is_lasting = lasting.contains(&(run.task, run.run));
+                let percent = if is_lasting { 100 } else { run.percent };
+                json!([run.task.to_string(), run.run, run.checkpoint, percent])
+            })
             .collect();
         let ended: Vec<Value> = held
             .ended
