--- a/crates/daemon/tests/soak/main.rs
+++ b/crates/daemon/tests/soak/main.rs
@@ -22,11 +22,17 @@
     caller::Work,
     cluster::Cluster,
     rand::{RngExt, SeedableRng, rngs::StdRng},
+    serde_json::json,
     std::{
         ops::Range,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
         thread,
         time::{Duration, Instant},
     },
+    upstream::Upstream,
 };
 
 /// Time after the last fault in which every accepted job must end.
@@ -72,7 +78,8 @@
     judge.begun(1, "a.0.0.0", start);
     judge.over(0, "a.0.0.0");
     judge.over(1, "a.0.0.0");
-    judge.noted("a.0.0.0");
+    judge.done(1, "a.0.0.0");
+    judge.noted(1, "a.0.0.0");
     judge.begun(1, "a.0.0.0", overfull);
     judge.begun(2, "b.0.0.0", start);
     let long_ago = Instant::now().checked_sub(Duration::from_secs(9));
@@ -80,16 +87,55 @@
     judge.submitted("c");
     judge.begun(0, "c.0.0.0", start);
     judge.begun(3, "c.0.0.1", start);
+    judge.over(0, "c.0.0.0");
+    judge.done(0, "c.0.0.0");
+    judge.begun(0, "c.0.0.0", start);
+    judge.noted(0, "c.0.0.0");
     let expected = [
         "a.0.0.0 runs on {0, 1}",
         "a.0.0.0 overfills upstream 1",
         "a.0.0.0 was started after it was done",
         "b.0.0.0 was not asked for",
         "c.0.0.1 was started in the evacuated zone 1",
+        "c.0.0.0 was started between its end as done and the note of it",
     ];
     assert_eq!(judge.breaches(), expected);
 }
 
+/// Guards against an oracle that takes note of an end although the lease was over in between, or of none.
+#[test]
+fn an_end_is_noted_unless_the_lease_was_over_before() {
+    let breaches = |lease_ms: u64| {
+        let (judge, over) = (Arc::default(), Arc::<AtomicBool>::default());
+        let nobody = "127.0.0.1:1".parse().unwrap();
+        let link = Upstream::spawn(0, Duration::ZERO, &[nobody], &judge, &over);
+        let call = |request: &str, body: serde_json::Value| {
+            let address = link.proxy.address;
+            let limit = Duration::from_secs(5);
+            let answer = exchange::call(address, request, "Host: c\r\n", &body.to_string(), limit);
+            assert_eq!(answer.unwrap().status(), 200);
+        };
+        let task = "000000000000000a.0.0.0";
+        judge.submitted("000000000000000a");
+        call(
+            "POST /run-start",
+            json!({"task": task, "run": 1, "deadlineMs": lease_ms, "fencingToken": 1}),
+        );
+        thread::sleep(Duration::from_secs(1));
+        call("POST /hold", json!({"fencingToken": 1, "lastSeen": 1}));
+        let start = judge::Start {
+            fits: true,
+            is_late: false,
+        };
+        judge.begun(1, task, start);
+        over.store(true, Ordering::Relaxed);
+        judge.breaches()
+    };
+    assert_eq!(breaches(700), [""; 0]);
+    let expected = ["000000000000000a.0.0.0 was started after it was done"];
+    assert_eq!(breaches(5000), expected);
+}
+
 /// Guards against promises broken by faults in series that the model does not know: real sockets, signals and disks.
 #[test]
 fn promises_hold_under_faults_from_outside() {
@@ -105,6 +151,13 @@
     assert!(failed.is_empty(), "{failed:#?}");
 }
 
+/// Guards against tasks on two upstreams at once: an upstream that has deregistered works on until it ends.
+#[test]
+fn nothing_runs_twice_when_upstreams_leave() {
+    let failed = failed_seeds(|seed| play(seed, Work::Sparse, fault::leave));
+    assert!(failed.is_empty(), "{failed:#?}");
+}
+
 fn failed_seeds(play: impl Fn(u64) -> Vec<String>) -> Vec<(u64, Vec<String>)> {
     let mut failed = Vec::new();
     for seed in seeds() {
--- a/crates/daemon/tests/soak/upstream.rs
+++ b/crates/daemon/tests/soak/upstream.rs
@@ -32,6 +32,9 @@
 /// Text of the jobs with long tasks.
 pub const LONG: &str = "long";
 
+/// Text of the jobs whose tasks last until they are cancelled.
+pub const LASTING: &str = "lasting";
+
 /// Longest delay of a call that is carried out late, in milliseconds, as the platform documents it.
 const MAX_DELAY_MS: u64 = 12_000;
 
@@ -41,15 +44,35 @@
 /// Interval of heartbeats.
 const HEARTBEAT: Duration = Duration::from_millis(500);
 
+/// Wait for the answer to a report about itself.
+const REPORT_LIMIT: Duration = Duration::from_secs(1);
+
+/// Calls of an upstream that leaves, until one is acknowledged.
+const DEREGISTER_TRIES: usize = 3;
+
+/// A planned end of an upstream.
+#[derive(Clone, Copy, Debug)]
+pub struct Departure {
+    /// When it deregisters.
+    pub at: Instant,
+    /// Whether the acknowledgement of that reaches it.
+    pub is_acknowledged: bool,
+    /// Time for which it goes on without an acknowledgement.
+    pub overtime: Duration,
+}
+
 /// A stand-in upstream: the model of `sim` on real time, behind a proxy.
 pub struct Upstream {
     number: usize,
     origin: Instant,
     model: Mutex<Model>,
     sequence: Mutex<u64>,
+    /// Number of the last end before the lease was over for the last time: a later note of it does not count.
+    lapsed_end: AtomicU64,
     is_up: AtomicBool,
     /// Whether its heartbeats reach the instances.
     is_heard: AtomicBool,
+    departure: Mutex<Option<Departure>>,
     /// Share of the calls that get no answer and are carried out late, in percent.
     late_percent: AtomicU64,
     /// Time by which its time of day is behind that of the instances.
@@ -80,8 +103,10 @@
             origin: Instant::now(),
             model: Mutex::new(model),
             sequence: Mutex::new(0),
+            lapsed_end: AtomicU64::new(0),
             is_up: AtomicBool::new(true),
             is_heard: AtomicBool::new(true),
+            departure: Mutex::new(None),
             late_percent: AtomicU64::new(0),
             behind,
             rng: Mutex::new(StdRng::seed_from_u64(number as u64)),
@@ -98,7 +123,7 @@
         let announcer = upstream.clone();
         thread::spawn(move || {
             while !ticking.load(Ordering::Relaxed) {
-                ticker.end_due();
+                ticker.end_due(&mut ticker.model(), ticker.now_ms());
                 thread::sleep(Duration::from_millis(10));
             }
         });
@@ -107,11 +132,7 @@
                 if announcing.load(Ordering::Relaxed) {
                     return;
                 }
-                if announcer.is_up.load(Ordering::Relaxed)
-                    && announcer.is_heard.load(Ordering::Relaxed)
-                {
-                    announcer.announce(controls[turn % controls.len()], announced);
-                }
+                announcer.report(&controls, turn, announced);
                 thread::sleep(HEARTBEAT);
             }
         });
@@ -128,6 +149,21 @@
         self.is_heard.store(is_heard, Ordering::Relaxed);
     }
 
+    /// Lets it drain, deregister and end.
+    pub fn depart(&self, departure: Departure) {
+        *self.departure() = Some(departure);
+    }
+
+    /// Whether an incarnation is there.
+    pub fn is_up(&self) -> bool {
+        self.is_up.load(Ordering::Relaxed)
+    }
+
+    /// Number of its runs.
+    pub fn count_runs(&self) -> usize {
+        self.model().runs.len()
+    }
+
     /// Ends the incarnation with all that it runs.
     pub fn crash(&self) {
         let mut model = self.model();
@@ -143,9 +179,16 @@
         model.reborn(self.now_ms());
         model.born_ms = unix_ms(self.behind);
         *self.sequence() = 0;
+        self.lapsed_end.store(0, Ordering::Relaxed);
         self.is_up.store(true, Ordering::Relaxed);
     }
 
+    fn departure(&self) -> MutexGuard<'_, Option<Departure>> {
+        self.departure
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn sequence(&self) -> MutexGuard<'_, u64> {
         self.sequence.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -162,7 +205,42 @@
         self.origin.elapsed().as_secs_f64() * 1000.0
     }
 
-    fn announce(&self, control: SocketAddr, address: SocketAddr) {
+    /// Says to the instance whose turn it is how it is, or that it leaves.
+    fn report(&self, controls: &[SocketAddr], turn: usize, address: SocketAddr) {
+        if !self.is_up() || !self.is_heard.load(Ordering::Relaxed) {
+            return;
+        }
+        let departure = *self.departure();
+        match departure.filter(|departure| departure.at <= Instant::now()) {
+            Some(departure) => self.deregister(controls, turn, departure),
+            None => self.announce(controls[turn % controls.len()], address, departure),
+        }
+    }
+
+    /// Leaves and ends, without an acknowledgement only after a while. Calls a few instances until one acknowledges.
+    fn deregister(&self, controls: &[SocketAddr], turn: usize, departure: Departure) {
+        let body = json!({ "born": self.model().born_ms }).to_string();
+        let request = format!("POST /Instances.Deregister/u{}", self.number);
+        let next = controls.iter().cycle().skip(turn % controls.len());
+        let is_acknowledged = next.take(DEREGISTER_TRIES).any(|control| {
+            let answer = exchange::call(*control, &request, "Host: c\r\n", &body, REPORT_LIMIT);
+            answer.is_ok_and(|answer| answer.status() == 200)
+        });
+        if !departure.is_acknowledged || !is_acknowledged {
+            thread::sleep(departure.overtime);
+        }
+        *self.departure() = None;
+        self.crash();
+    }
+
+    fn announce(&self, control: SocketAddr, address: SocketAddr, departure: Option<Departure>) {
+        let (state, remaining_ms) = match departure {
+            Some(Departure { at, .. }) => {
+                let left = at.saturating_duration_since(Instant::now());
+                ("draining", Some(left.as_millis() as u64))
+            }
+            None => ("ready", None),
+        };
         let (born_ms, clock_ms, sequence) = {
             let model = self.model();
             let mut sequence = self.sequence();
@@ -171,7 +249,7 @@
         };
         let body = json!({
             "service": "pool", "address": address.to_string(), "zone": format!("z{}", self.number / ZONE), "version": "v1", "slots": 4,
-            "state": "ready", "coldRemainingMs": 0,
+            "state": state, "remainingMs": remaining_ms, "coldRemainingMs": 0,
             "capacity": {"cpu": CAPACITY * 1000, "memMb": 1000, "gpu": CAPACITY},
             "labels": ["a", format!("r{}", self.number / 2)], "clockMs": clock_ms,
             "sequence": sequence, "born": born_ms,
@@ -183,7 +261,7 @@
             &request,
             "Host: c\r\n",
             &body.to_string(),
-            Duration::from_secs(1),
+            REPORT_LIMIT,
         ));
     }
 
@@ -197,12 +275,13 @@
         };
         if let Some(delay_ms) = delay_ms {
             thread::sleep(Duration::from_millis(delay_ms));
-            while !self.is_up.load(Ordering::Relaxed) {
+            while !self.is_up() {
                 thread::sleep(Duration::from_millis(10));
             }
         }
-        let is_up = self.is_up.load(Ordering::Relaxed);
-        let answer = is_up.then(|| self.carry_out(request, delay_ms.is_some()))?;
+        let answer = self
+            .is_up()
+            .then(|| self.carry_out(request, delay_ms.is_some()))?;
         answer.filter(|_| delay_ms.is_none())
     }
 
@@ -212,7 +291,7 @@
         let token = body["fencingToken"].as_u64().unwrap_or(0);
         let path = request.start.split(' ').nth(1).unwrap_or_default();
         let result = match path {
-            "/run-start" => self.start(&body, token, is_late),
+            "/run-start" => self.start(&body, token, is_late)?,
             "/run-stop" => {
                 let stop = Stop {
                     task: name(&body).parse().unwrap(),
@@ -245,7 +324,8 @@
         }
     }
 
-    fn start(&self, body: &Value, token: u64, is_late: bool) -> Result<(), Refusal> {
+    /// Carries out a start; none if the incarnation has ended meanwhile.
+    fn start(&self, body: &Value, token: u64, is_late: bool) -> Option<Result<(), Refusal>> {
         let task: id::Task = name(body).parse().unwrap();
         let order = Start {
             task,
@@ -255,12 +335,18 @@
             checkpoint: String::new(),
             ticket: None,
         };
-        let now_ms = self.now_ms();
         let mut model = self.model();
-        if model.start(&order, token, now_ms)? {
+        let now_ms = self.now_ms();
+        if !self.is_up() {
+            return None;
+        }
+        self.end_due(&mut model, now_ms);
+        let result = model.start(&order, token, now_ms);
+        if result == Ok(true) {
             let run = sim::Run {
                 work_ms: match body["spec"].as_str() {
                     Some(LONG) => LONG_WORK_MS,
+                    Some(LASTING) => f64::INFINITY,
                     _ => WORK_MS,
                 },
                 done_ms: 0.0,
@@ -280,7 +366,7 @@
             let start = judge::Start { fits, is_late };
             self.judge.begun(self.number, &task.to_string(), start);
         }
-        Ok(())
+        Some(result.map(|_| ()))
     }
 
     fn hold(&self, body: &Value, token: u64) -> Option<(u16, String)> {
@@ -291,12 +377,14 @@
             wait: Duration::ZERO,
         };
         let (noted, born_ms): (Vec<String>, u64) = {
-            let now_ms = self.now_ms();
             let mut model = self.model();
+            let now_ms = self.now_ms();
+            self.end_due(&mut model, now_ms);
+            let bound = self.lapsed_end.load(Ordering::Relaxed) + 1..=last_end;
             let ends = model
                 .ends
                 .iter()
-                .filter(|end| end.number <= last_end && end.how == Outcome::Done);
+                .filter(|end| bound.contains(&end.number) && end.how == Outcome::Done);
             let noted = ends.map(|end| end.task.to_string()).collect();
             if let Err(refusal) = model.hold(&order, token, now_ms) {
                 drop(model);
@@ -305,20 +393,33 @@
             (noted, model.born_ms)
         };
         for task in noted {
-            self.judge.noted(&task);
+            self.judge.noted(self.number, &task);
         }
         let until = Instant::now() + Duration::from_millis(body["waitMs"].as_u64().unwrap_or(0));
         while Instant::now() < until && self.model().ends.is_empty() {
             thread::sleep(Duration::from_millis(10));
         }
-        let held = self.model().list(self.now_ms());
+        let (held, lasting) = {
+            let model = self.model();
+            let lasting = model
+                .runs
+                .iter()
+                .filter(|(_, run)| run.work_ms.is_infinite());
+            let lasting: Vec<_> = lasting.map(|(key, _)| *key).collect();
+            (model.list(self.now_ms()), lasting)
+        };
         if held.born_ms != Some(born_ms) {
             return None;
         }
         let running: Vec<Value> = held
             .running
             .iter()
-            .map(|run| json!([run.task.to_string(), run.run, run.checkpoint, run.percent]))
+            .map(|run| {
+                // One that lasts is at work as soon as it has begun.
+                let is_lasting = lasting.contains(&(run.task, run.run));
+                let percent = if is_lasting { 100 } else { run.percent };
+                json!([run.task.to_string(), run.run, run.checkpoint, percent])
+            })
             .collect();
         let ended: Vec<Value> = held
             .ended
@@ -339,10 +440,9 @@
         Some((200, answer.to_string()))
     }
 
-    /// Ends what is done, stopped or without a lease.
-    fn end_due(&self) {
-        let now_ms = self.now_ms();
-        let mut model = self.model();
+    /// Ends what is done, stopped or without a lease. Called before each order that may extend the lease, so that none revives
+    /// what has lost it.
+    fn end_due(&self, model: &mut Model, now_ms: f64) {
         let lapsed = model.clock_ms(now_ms) > model.lease_ms;
         let due = model.runs.iter().filter_map(|(key, run)| {
             let how = if lapsed {
@@ -358,7 +458,14 @@
         });
         for (key, how) in due.collect::<Vec<_>>() {
             model.end(key, how, now_ms);
-            self.judge.over(self.number, &key.0.to_string());
+            let task = key.0.to_string();
+            self.judge.over(self.number, &task);
+            if how == Outcome::Done {
+                self.judge.done(self.number, &task);
+            }
+        }
+        if lapsed {
+            self.lapsed_end.store(model.last_end, Ordering::Relaxed);
         }
     }
 }
