--- a/crates/dispatch/tests/group/departure.rs
+++ b/crates/dispatch/tests/group/departure.rs
@@ -86,8 +86,7 @@
             checkpoint: String::new(),
         }],
     });
-    // The deregistration is handled first. Whichever is proposed first comes first in the log, however long a commit
-    // takes.
+    // The end is committed while the deregistration is handled.
     let commit = control.replica().propose(&ended);
     let (left, committed) = tokio::join!(control.call(leave(), TIMEOUT), commit);
     assert_eq!(left, Outcome::Answered(Reply::Done));
--- a/crates/plan/tests/incarnations/main.rs
+++ b/crates/plan/tests/incarnations/main.rs
@@ -4,6 +4,7 @@
 mod leader;
 
 mod departure;
+mod ended;
 mod leases;
 mod scene;
 mod starts;
--- a/crates/plan/tests/incarnations/starts.rs
+++ b/crates/plan/tests/incarnations/starts.rs
@@ -11,7 +11,7 @@
 
 /// Lets the leader start the task on `a` again, and takes the first start, which is not carried out yet. There is room on `b`
 /// then.
-fn open_start(scene: &mut Scene) -> (Call, u64) {
+pub fn open_start(scene: &mut Scene) -> (Call, u64) {
     scene.run_until(CRASH_MS);
     scene.node.running = None;
     scene.takes_starts = false;
@@ -189,13 +189,13 @@
 }
 
 /// Longest delay of a call that the platform documents.
-const MAX_DELAY_MS: u64 = 12_000;
+pub const MAX_DELAY_MS: u64 = 12_000;
 
 /// Time for which a lease may last that the leader does not know, with its margins.
 const LONGEST_LEASE_MS: u64 = 6500;
 
 /// Time after which a start without an answer is not carried out, by the leader's reckoning.
-const OPEN_MS: u64 = 15_000;
+pub const OPEN_MS: u64 = 15_000;
 
 /// Guards against callers that wait for a start which cannot be under way any more: a run was stopped after its starts had no
 /// answer, and the next leader could not reach its upstream either.
