plan: wait no longer for a start on an upstream that leaves than for that start

An upstream that drains is not expected under its id again, and a run there now waits until its lease is over and the start cannot be carried out any more, as a task whose run has ended does. The same holds where the message never comes.

--- a/crates/plan/src/engine/expiry.rs
+++ b/crates/plan/src/engine/expiry.rs
@@ -45,6 +45,8 @@
         let lease_end = session.lease_end();
         let late_until = self.late_until(tracked);
         match late_until.filter(|_| must_run_once(registry, &key.0)) {
+            // A task whose run has ended waits for an open start in the same way.
+            Some(until) if session.is_leaving() => lease_end.max(until),
             Some(until) => lease_end.max(until + expired_after(self.settings.max_lease)),
             None => lease_end,
         }
@@ -55,7 +57,8 @@
         let until = tracked.open_starts.until()?;
         // Late calls give the lease of whatever incarnation carries out the start.
         let session = self.sessions.get(&tracked.upstream);
-        Some(session.map_or(until, |session| session.late_calls_until().max(until)))
+        let staying = session.filter(|session| !session.is_leaving());
+        Some(staying.map_or(until, |session| session.late_calls_until().max(until)))
     }
 
     /// Whether this leader may send further starts of a run.
--- a/crates/plan/src/engine/session.rs
+++ b/crates/plan/src/engine/session.rs
@@ -246,6 +246,11 @@
         !self.contacted || (self.failures > 0 && self.last_heard > self.failed_at)
     }
 
+    /// Whether it drains, or has said that it leaves now.
+    pub fn is_leaving(&self) -> bool {
+        self.draining || self.has_left
+    }
+
     /// Whether it is slow after its start.
     pub fn is_cold(&self, now: Instant) -> bool {
         self.cold_until.is_some_and(|until| now < until)
--- a/crates/plan/tests/incarnations/departure.rs
+++ b/crates/plan/tests/incarnations/departure.rs
@@ -1,10 +1,11 @@
 use {
     crate::{
         leader::sweep_task,
-        scene::{CRASH_MS, CUT_MS, Scene},
+        scene::{CRASH_MS, CUT_MS, STEP_MS, Scene},
+        starts::{OPEN_MS, open_start},
     },
     plan::engine::Event,
-    work::upstream::Outcome,
+    work::{registry::Command, upstream::Outcome},
 };
 
 /// Lets `a` say that it leaves.
@@ -65,3 +66,29 @@
     assert!(!is_registered(&scene));
     assert!(scene.node.running.is_none());
 }
+
+/// Guards against jobs that are lost: the upstream drained and was gone with an open start, and the task waited for late calls
+/// that could prolong its lease.
+#[test]
+fn a_task_whose_upstream_drained_waits_for_its_open_start_and_no_longer() {
+    let mut scene = Scene::new();
+    open_start(&mut scene);
+    let sent_ms = scene.now_ms;
+    let known = scene.registry.upstream(&"a".into()).cloned();
+    let mut upstream = known.expect("the upstream is known");
+    upstream.draining = true;
+    scene.registry.apply(Command::Register {
+        upstream: Box::new(upstream),
+    });
+    scene.run_until(sent_ms + 2000);
+    leave(&mut scene);
+    scene.is_reachable = false;
+    while scene.registry.run(&sweep_task(), 2).is_some() {
+        scene.run_until(scene.now_ms + STEP_MS);
+    }
+    let waited_ms = scene.now_ms - sent_ms;
+    assert!(
+        (OPEN_MS..OPEN_MS + 2000).contains(&waited_ms),
+        "given up after {waited_ms} ms"
+    );
+}
