sim: play replaced leaders that go on, what followers know, and departures

The model dropped the engine of a replaced leader, handed the latest report of open starts to the next one directly, and never removed an upstream from the registry with `Leave`.

A proposal that a replaced leader leaves behind is lost with all that follow in the log: before, a later one could be committed alone, and the ends in between were never recorded.

--- a/crates/sim/src/lib.rs
+++ b/crates/sim/src/lib.rs
@@ -16,8 +16,8 @@
     load::{Arrival, Kind, Load},
     oracle::{Breach, Oracle},
     report::{Report, Tally},
-    trouble::{Faults, Trouble},
+    trouble::{Farewell, Faults, Trouble},
     truth::Truth,
     upstream::{Nature, Run, Upstream},
-    world::{Processor, Setup, World},
+    world::{Departures, Members, Processor, Setup, World},
 };
--- a/crates/sim/src/oracle.rs
+++ b/crates/sim/src/oracle.rs
@@ -215,6 +215,11 @@
         self.unreleased.insert(task);
     }
 
+    /// Whether the end of a task as done was lost with its upstream before it was released.
+    pub fn is_end_lost(&self, task: &id::Task) -> bool {
+        self.unreleased.contains(task)
+    }
+
     /// An upstream lost all that ran on it, and begins an incarnation in which it has promised nothing.
     pub fn lost(&mut self, at: &id::Upstream) {
         for (task, hosts) in &mut self.running {
@@ -225,6 +230,14 @@
         self.draining.shift_remove(at);
     }
 
+    /// An upstream that had told so has left; what ran on it ended without a crash.
+    pub fn left(&mut self, at: &id::Upstream) {
+        for hosts in self.running.values_mut() {
+            hosts.shift_remove(at);
+        }
+        self.draining.shift_remove(at);
+    }
+
     fn crashes(&self, task: &id::Task) -> u32 {
         self.crashes.get(task).copied().unwrap_or(0)
     }
--- a/crates/sim/src/world/happening.rs
+++ b/crates/sim/src/world/happening.rs
@@ -1,7 +1,8 @@
 use {
+    super::departures::Leaving,
     crate::{Arrival, Trouble},
     plan::engine::{Effect, Event, Hold, Start, Stop, Target},
-    work::{id, registry::Update},
+    work::{id, registry::Update, upstream::StartReport},
 };
 
 /// An order on its way.
@@ -48,6 +49,21 @@
     Watch,
     Trouble(Trouble),
     Mend(id::Upstream),
+    /// The other instances have chosen a leader.
+    Elected,
+    /// A frozen leader goes on.
+    Thawed {
+        term: u64,
+    },
+    /// An instance is told the open starts.
+    Told {
+        member: usize,
+        report: StartReport,
+    },
+    /// The leader handles the message of an upstream that deregisters.
+    Deregister(Leaving),
+    /// An upstream that was about to leave ends.
+    Departed(id::Upstream),
 }
 
 /// A hold whose answer waits for an end.
--- a/crates/sim/src/world/network.rs
+++ b/crates/sim/src/world/network.rs
@@ -20,8 +20,7 @@
 /// Orders and answers on their way.
 impl World {
     /// Sends an order, which may be lost, late or unanswered.
-    pub(super) fn send(&mut self, call: u64, target: Target, order: Order) {
-        let term = self.term;
+    pub(super) fn send(&mut self, term: u64, call: u64, target: Target, order: Order) {
         let faults = self.setup.faults;
         let draw: f64 = self.rng.random();
         let travel = TRAVEL_MS * self.rng.random_range(0.5..1.5);
@@ -29,7 +28,7 @@
             Order::Hold(hold) => hold.wait.as_secs_f64() * 1000.0,
             _ => 0.0,
         };
-        let cut = self.cut.contains_key(&target.upstream);
+        let cut = self.is_cut(&target.upstream, term);
         let lost = cut || draw < faults.lost;
         let late = !cut && draw > 1.0 - faults.late;
         let unanswered = !lost && !late && draw < faults.lost + faults.unanswered;
@@ -73,7 +72,7 @@
     ) {
         let id = target.upstream.clone();
         // A late order may have been under way to an earlier incarnation.
-        if self.cut.contains_key(&id) && !late {
+        if (self.is_cut(&id, term) && !late) || self.departed.contains(&id) {
             return;
         }
         let token = (term << 32) + target.token_offset;
@@ -114,9 +113,14 @@
                     },
                     Ok(()) if !answered => return,
                     Ok(()) => {
+                        let has_ends = upstream.ends.iter().any(|end| end.number > hold.last_end);
                         let wait_ms = hold.wait.as_secs_f64() * 1000.0;
+                        // A hold of an earlier leader, which goes on.
+                        let other = self.waiting.get(&id).map(|waiting| waiting.term);
+                        if other.is_some_and(|other| self.is_deposed(other)) {
+                            self.answer_hold(&id);
+                        }
                         self.waiting.insert(id.clone(), Waiting { term, call });
-                        let has_ends = upstream.ends.iter().any(|end| end.number > hold.last_end);
                         if has_ends || wait_ms == 0.0 {
                             self.answer_hold(&id);
                         } else {
@@ -132,6 +136,12 @@
         }
     }
 
+    /// Whether a leader can't reach an upstream.
+    fn is_cut(&self, id: &id::Upstream, term: u64) -> bool {
+        let first_cut = self.cut_from_term.get(id);
+        self.cut.contains_key(id) || first_cut.is_some_and(|first| term >= *first)
+    }
+
     pub(super) fn answer_hold(&mut self, id: &id::Upstream) {
         let Some(Waiting { term, call }) = self.waiting.shift_remove(id) else {
             return;
@@ -140,7 +150,7 @@
             return;
         };
         let held: Listing = upstream.list(self.now_ms);
-        let answer = match self.cut.contains_key(id) {
+        let answer = match self.is_cut(id, term) {
             true => Err(Failure::NoAnswer("cut".into())),
             false => Ok(held),
         };
--- a/crates/sim/src/world/runs.rs
+++ b/crates/sim/src/world/runs.rs
@@ -75,7 +75,7 @@
         };
         let key = (order.task, order.run);
         log::debug!(
-            "event=model_start task={} run={} upstream={id} late={late} token={token}",
+            "event=model_start at={now_ms:.0} task={} run={} upstream={id} late={late} token={token}",
             order.task,
             order.run
         );
@@ -83,8 +83,23 @@
         if let Some(upstream) = self.upstreams.get_mut(id) {
             upstream.runs.insert(key, run);
             let room = upstream.room();
+            let known = self.oracle.breaches.len();
             self.oracle
                 .begun(&self.book, id, order.task, room, late, now_ms as u64);
+            // Rules with a time bound hold for senders in touch, and an end that was lost unreleased does not bind what
+            // an earlier leader had decided.
+            if token >> 32 != self.term {
+                let is_excused = |breach: &Breach| match breach {
+                    Breach::Unasked(_) | Breach::Drained(_) | Breach::Evacuated(_) => true,
+                    Breach::Again(task) => self.oracle.is_end_lost(task),
+                    _ => false,
+                };
+                let found = &self.oracle.breaches[known..];
+                let kept = found.iter().filter(|breach| !is_excused(breach));
+                let kept: Vec<Breach> = kept.cloned().collect();
+                self.oracle.breaches.truncate(known);
+                self.oracle.breaches.extend(kept);
+            }
         }
         if is_deadly && order.task.index == 0 {
             let at_ms = now_ms + CRASH_MS;
@@ -288,7 +303,7 @@
             return;
         };
         log::debug!(
-            "event=model_end task={} run={} upstream={id} how={how}",
+            "event=model_end at={now_ms:.0} task={} run={} upstream={id} how={how}",
             key.0,
             key.1
         );
--- a/crates/sim/src/world/setup.rs
+++ b/crates/sim/src/world/setup.rs
@@ -1,5 +1,5 @@
 use {
-    super::Processor,
+    super::{Departures, Members, Processor},
     crate::{Faults, Load, Trouble},
     plan::engine::Settings,
     work::config::{Account, Advice, Config, Queue, Service},
@@ -35,6 +35,11 @@
     pub speeds: Vec<f64>,
     /// Whether a new leader begins with the speeds that the one before it had told the followers.
     pub keeps_speeds: bool,
+    /// Instances of which one leads, with a memory of the open starts each; without them the next leader knows what the one
+    /// before it has told last.
+    pub members: Option<Members>,
+    /// When an upstream that has deregistered is removed from the registry.
+    pub departures: Departures,
     /// Bounds of the engine.
     pub settings: Settings,
 }
@@ -55,6 +60,8 @@
             processor: Processor::default(),
             speeds: Vec::new(),
             keeps_speeds: true,
+            members: None,
+            departures: Departures::default(),
             settings: Settings::default(),
         }
     }
--- a/crates/sim/src/world/troubles.rs
+++ b/crates/sim/src/world/troubles.rs
@@ -1,8 +1,6 @@
 use {
     super::{World, happening::Happening},
     crate::{Nature, Trouble},
-    plan::engine::Engine,
-    std::time::Duration,
     work::{
         id,
         registry::{Answer, Command, Instruction, Order},
@@ -23,41 +21,18 @@
         match trouble {
             Trouble::NewLeader => {
                 self.term += 1;
-                self.pending_events.clear();
-                self.is_busy = false;
-                let now = self.base + Duration::from_micros((self.now_ms * 1000.0) as u64);
-                self.engine = Engine::new(self.setup.settings.clone(), now);
-                if let Some((speeds, at)) = &self.told_speeds {
-                    self.engine.inherit_speeds(speeds, *at);
-                }
-                if let Some((report, at)) = &self.told_starts {
-                    self.engine.inherit_starts(report, *at);
-                }
-                self.step(Vec::new());
+                self.take_over();
             }
+            Trouble::FrozenLeader(for_ms, on_ms) => self.freezing = Some((for_ms, on_ms)),
+            Trouble::IsolatedLeader(on_ms, with) => self.isolate(on_ms, with),
+            Trouble::AllKilled => {
+                self.forget_starts();
+                self.trouble(Trouble::NewLeader);
+            }
+            Trouble::Reborn(id) if self.departing.contains(&id) => {}
             Trouble::Reborn(id) => {
-                let now_ms = self.now_ms;
-                let Some(upstream) = self.upstreams.get_mut(&id) else {
-                    return;
-                };
-                let gone: Vec<(id::Task, u32)> = upstream.runs.keys().copied().collect();
-                let ends = std::mem::take(&mut upstream.ends);
-                let lost = upstream.reborn(now_ms);
+                self.lose(&id);
                 self.oracle.lost(&id);
-                for end in ends.iter().filter(|end| end.how == Outcome::Done) {
-                    self.forget_unless_noted(&end.task);
-                    self.oracle.lost_end(end.task);
-                }
-                for (task, run) in lost {
-                    self.charge(&task, &run, Outcome::Lapsed, now_ms);
-                }
-                for key in gone {
-                    if self.book.step(&key.0).is_some_and(|step| step.gang) {
-                        for (other, member) in self.members(key, true) {
-                            self.end(&other, member, Outcome::Broken);
-                        }
-                    }
-                }
             }
             Trouble::Cut(id, for_ms) => {
                 self.cut.insert(id.clone(), true);
@@ -72,6 +47,9 @@
                 self.hear_upstreams();
             }
             Trouble::Draining(id) => self.drain(&id, DRAIN_MS),
+            Trouble::Departing(id, after_ms, farewell, runs_on_ms) => {
+                self.announce_departure(id, after_ms, farewell, runs_on_ms);
+            }
             Trouble::Leaving(id, after_ms) => {
                 self.drain(&id, after_ms);
                 let at_ms = self.now_ms + after_ms as f64;
@@ -114,7 +92,32 @@
         self.step(Vec::new());
     }
 
-    fn drain(&mut self, id: &id::Upstream, for_ms: u64) {
+    /// An upstream ends with all that it runs.
+    pub(super) fn lose(&mut self, id: &id::Upstream) {
+        let now_ms = self.now_ms;
+        let Some(upstream) = self.upstreams.get_mut(id) else {
+            return;
+        };
+        let gone: Vec<(id::Task, u32)> = upstream.runs.keys().copied().collect();
+        let ends = std::mem::take(&mut upstream.ends);
+        let lost = upstream.reborn(now_ms);
+        for end in ends.iter().filter(|end| end.how == Outcome::Done) {
+            self.forget_unless_noted(&end.task);
+            self.oracle.lost_end(end.task);
+        }
+        for (task, run) in lost {
+            self.charge(&task, &run, Outcome::Lapsed, now_ms);
+        }
+        for key in gone {
+            if self.book.step(&key.0).is_some_and(|step| step.gang) {
+                for (other, member) in self.members(key, true) {
+                    self.end(&other, member, Outcome::Broken);
+                }
+            }
+        }
+    }
+
+    pub(super) fn drain(&mut self, id: &id::Upstream, for_ms: u64) {
         let number = self.upstreams.get_index_of(id).unwrap_or(0);
         if let Some(model) = self.upstreams.get(id).cloned() {
             self.register(&model, Some(for_ms), number);
--- a/crates/sim/src/world/world.rs
+++ b/crates/sim/src/world/world.rs
@@ -1,7 +1,9 @@
 use {
     super::{
         Setup,
+        deposed::Deposed,
         happening::{Happening, Order, Waiting},
+        members::Group,
         setup::config,
     },
     crate::{Arrival, Load, Nature, Oracle, Report, Upstream},
@@ -68,9 +70,23 @@
     /// Revision of the registry up to which ended jobs were noted.
     pub(super) noted_revision: u64,
     pub(super) term: u64,
+    /// Terms of which a proposal was lost.
+    lost_from_term: IndexSet<u64>,
     pub(super) upstreams: IndexMap<id::Upstream, Upstream>,
     pub(super) waiting: IndexMap<id::Upstream, Waiting>,
     pub(super) cut: IndexMap<id::Upstream, bool>,
+    /// Upstreams that leaders from a term on can't reach.
+    pub(super) cut_from_term: IndexMap<id::Upstream, u64>,
+    /// Upstreams that have begun to leave, and those that have ended.
+    pub(super) departing: IndexSet<id::Upstream>,
+    pub(super) departed: IndexSet<id::Upstream>,
+    /// Leaders that were replaced and go on.
+    pub(super) deposed: Vec<Deposed>,
+    /// How long the leader stands still and goes on, once it has decided on a start.
+    pub(super) freezing: Option<(u64, u64)>,
+    /// Whether no instance leads.
+    pub(super) is_vacant: bool,
+    pub(super) group: Option<Group>,
     /// Times in milliseconds until which upstreams are cold.
     pub(super) cold: IndexMap<id::Upstream, f64>,
     /// Runs whose stops were held up.
@@ -105,9 +121,17 @@
             queue: BTreeMap::new(),
             book: Registry::default(),
             term: 1,
+            lost_from_term: IndexSet::new(),
             upstreams: IndexMap::new(),
             waiting: IndexMap::new(),
             cut: IndexMap::new(),
+            cut_from_term: IndexMap::new(),
+            departing: IndexSet::new(),
+            departed: IndexSet::new(),
+            deposed: Vec::new(),
+            freezing: None,
+            is_vacant: false,
+            group: setup.members.map(|members| Group::new(members, setup.seed)),
             cold: IndexMap::new(),
             late_stops: IndexSet::new(),
             arrivals: IndexMap::new(),
@@ -213,6 +237,7 @@
             Happening::Tick => {
                 self.at(self.now_ms + TICK_MS, Happening::Tick);
                 self.step(Vec::new());
+                self.tick_deposed();
             }
             Happening::Heartbeat => {
                 self.at(self.now_ms + HEARTBEAT_MS, Happening::Heartbeat);
@@ -237,6 +262,8 @@
             Happening::Answer { term, event } => {
                 if term == self.term {
                     self.step(vec![event]);
+                } else {
+                    self.step_deposed(term, Some(event));
                 }
             }
             Happening::HoldDue { upstream, call } => {
@@ -251,7 +278,7 @@
             Happening::StepDone { term, effects } if term == self.term => {
                 self.is_busy = false;
                 for effect in effects {
-                    self.perform(effect);
+                    self.perform(term, effect);
                 }
                 for (term, proposal, updates) in std::mem::take(&mut self.pending_commits) {
                     self.commit(term, proposal, updates);
@@ -264,7 +291,9 @@
                 self.watch();
             }
             Happening::Trouble(trouble) => self.trouble(trouble),
+            Happening::Mend(id) if self.departed.contains(&id) => {}
             Happening::Mend(id) => {
+                self.cut_from_term.shift_remove(&id);
                 self.cut.shift_remove(&id);
                 let now_ms = self.now_ms;
                 if let Some(upstream) = self.upstreams.get_mut(&id) {
@@ -272,11 +301,24 @@
                 }
                 self.refresh_work(&id);
             }
+            Happening::Elected if self.is_vacant => self.take_over(),
+            Happening::Elected => {}
+            Happening::Thawed { term } => self.thaw(term),
+            Happening::Told { member, report } => self.tell(member, report),
+            Happening::Deregister(leaving) => self.deregister(leaving),
+            Happening::Departed(id) => self.depart(id),
         }
     }
 
+    pub(super) fn instant(&self) -> Instant {
+        self.base + Duration::from_micros((self.now_ms * 1000.0) as u64)
+    }
+
     pub(super) fn step(&mut self, events: Vec<Event>) {
-        let now = self.base + Duration::from_micros((self.now_ms * 1000.0) as u64);
+        if self.is_vacant {
+            return;
+        }
+        let now = self.instant();
         log::trace!("event=model_step at={:.0}", self.now_ms);
         self.pending_events.extend(events);
         if self.is_busy {
@@ -292,12 +334,20 @@
         self.tell_speeds(now);
         self.tell_starts(now);
         self.note_ends();
+        let starts = |effect: &Effect| matches!(effect, Effect::Start { .. });
+        if let Some((for_ms, on_ms)) = self.freezing
+            && effects.iter().any(starts)
+        {
+            self.freeze(for_ms, on_ms, effects);
+            return;
+        }
         let processor = self.setup.processor;
         let took = processor.per_entry.mul_f64(effort.total() as f64)
             + processor.per_event * (event_count + effects.len()) as u32;
         if took.is_zero() {
+            let term = self.term;
             for effect in effects {
-                self.perform(effect);
+                self.perform(term, effect);
             }
             return;
         }
@@ -320,6 +370,10 @@
 
     /// Tells the followers the open starts, at an interval.
     fn tell_starts(&mut self, now: Instant) {
+        if self.group.is_some() {
+            self.tell_members(now);
+            return;
+        }
         let told = self.told_starts.as_ref();
         if told.is_none_or(|(_, at)| now >= *at + TELL_STARTS_INTERVAL) {
             self.told_starts = Some((self.engine.start_report(&self.book), now));
@@ -331,9 +385,13 @@
         std::mem::take(&mut self.effort)
     }
 
-    pub(super) fn perform(&mut self, effect: Effect) {
-        let term = self.term;
+    pub(super) fn perform(&mut self, term: u64, effect: Effect) {
         match effect {
+            // What a replaced leader proposes is not committed.
+            Effect::Propose { proposal, .. } if term != self.term => {
+                let event = Event::ProposalFailed { proposal };
+                self.at(self.now_ms + COMMIT_MS, Happening::Answer { term, event });
+            }
             Effect::Propose { proposal, updates } => {
                 self.at(
                     self.now_ms + COMMIT_MS,
@@ -348,17 +406,17 @@
                 call,
                 target,
                 order,
-            } => self.send(call, target, Order::Hold(order)),
+            } => self.send(term, call, target, Order::Hold(order)),
             Effect::Start {
                 call,
                 target,
                 order,
-            } => self.send(call, target, Order::Start(order)),
+            } => self.send(term, call, target, Order::Start(order)),
             Effect::Stop {
                 call,
                 target,
                 order,
-            } => self.send(call, target, Order::Stop(order)),
+            } => self.send(term, call, target, Order::Stop(order)),
             // The policy service allows everything.
             Effect::Advise {
                 call, upstreams, ..
@@ -389,9 +447,15 @@
             self.pending_commits.push((term, proposal, updates));
             return;
         }
-        // A proposal of a former leader is committed or lost.
-        if term != self.term && self.rng.random_bool(0.5) {
-            return;
+        // A proposal of a former leader is committed or lost, and with it those that follow in the log.
+        if term != self.term {
+            let is_lost = self.rng.random_bool(0.5);
+            if is_lost {
+                self.lost_from_term.insert(term);
+            }
+            if self.lost_from_term.contains(&term) {
+                return;
+            }
         }
         let at_ms = self.now_ms as u64;
         let answer = self.book.apply(Command::Progress {
