--- a/crates/sim/src/world/happening.rs
+++ b/crates/sim/src/world/happening.rs
@@ -2,7 +2,7 @@
     super::departures::Leaving,
     crate::{Arrival, Trouble},
     plan::engine::{Effect, Event, Hold, Start, Stop, Target},
-    work::{id, registry::Update, upstream::StartReport},
+    work::{id, registry::Update, upstream::NumberedReport},
 };
 
 /// An order on its way.
@@ -58,7 +58,7 @@
     /// An instance is told the open starts.
     Told {
         member: usize,
-        report: StartReport,
+        report: NumberedReport,
     },
     /// The leader handles the message of an upstream that deregisters.
     Deregister(Leaving),
