--- a/crates/plan/src/engine/engine.rs
+++ b/crates/plan/src/engine/engine.rs
@@ -3,8 +3,8 @@
         Effect, Effort, Event, Failure, MAX_TOKEN_OFFSET, Refusal, Settings, Target,
         addresses::Addresses, advice::Advice, avoidance::Avoidance, drain::Departures, evacuation,
         first_runs::FirstRuns, fleet_report::FleetWatch, load_report::LoadWatch,
-        open_starts::LATE_CALL_LIMIT, reservations::Reservation, session::Session, stalls::Stalls,
-        start_handover::Inheritance, tracked_run::TrackedRun,
+        open_starts::LATE_CALL_LIMIT, proposed::Proposed, reservations::Reservation,
+        session::Session, stalls::Stalls, start_handover::Inheritance, tracked_run::TrackedRun,
         unexplained_losses::UnexplainedLosses, usage::Usage,
     },
     crate::{
@@ -53,14 +53,6 @@
     pub until: Instant,
 }
 
-/// Placements in a proposal without a known outcome.
-#[derive(Clone, Debug)]
-pub(super) struct Proposed {
-    pub placements: Vec<Placement>,
-    /// Time of the registry when they were proposed. Their runs are assigned then or later.
-    pub since_ms: u64,
-}
-
 /// A start that has no answer yet.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct StartCall {
@@ -336,12 +328,6 @@
         MAX_TOKEN_OFFSET.min(units as u64 + 1)
     }
 
-    /// Placements in proposals without a known outcome.
-    pub(super) fn placements_under_way(&self) -> impl Iterator<Item = &Placement> {
-        let proposed = self.proposed_placements.values();
-        proposed.flat_map(|proposed| &proposed.placements)
-    }
-
     /// Proposes that a run is over although no end was reported.
     pub(super) fn void(&mut self, registry: &Registry, key: RunKey, reason: Void) {
         if self
