--- a/crates/plan/src/engine/expiry.rs
+++ b/crates/plan/src/engine/expiry.rs
@@ -45,7 +45,7 @@
         let lease_end = session.lease_end();
         let late_until = self.late_until(tracked);
         match late_until.filter(|_| must_run_once(registry, &key.0)) {
-            // A task whose run has ended waits for an open start in the same way.
+            // It is not expected back under its id, so the lease of a next incarnation is not waited for.
             Some(until) if session.is_leaving() => lease_end.max(until),
             Some(until) => lease_end.max(until + expired_after(self.settings.max_lease)),
             None => lease_end,
